--- /dev/null
+++ b/libs/catalog/include/gooseberryrock/catalog/shard_layout.h
@@ -0,0 +1,25 @@
+// How the data of a service is divided into shards.
+
+#ifndef GOOSEBERRYROCK_CATALOG_SHARD_LAYOUT_H_
+#define GOOSEBERRYROCK_CATALOG_SHARD_LAYOUT_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "gooseberryrock/base/ids.h"
+
+namespace gooseberryrock::catalog {
+
+struct ShardLayout {
+  // Rises with each repartition of the service.
+  uint64_t version = 0;
+  // All shards of the layout, in order and without duplicates. Coverage is
+  // counted against this list.
+  std::vector<ShardId> shards;
+
+  auto operator<=>(const ShardLayout&) const = default;
+};
+
+}  // namespace gooseberryrock::catalog
+
+#endif  // GOOSEBERRYROCK_CATALOG_SHARD_LAYOUT_H_
