--- /dev/null
+++ b/libs/directory/include/gooseberryrock/directory/server_record.h
@@ -0,0 +1,45 @@
+// What is known of one backend server.
+
+#ifndef GOOSEBERRYROCK_DIRECTORY_SERVER_RECORD_H_
+#define GOOSEBERRYROCK_DIRECTORY_SERVER_RECORD_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "gooseberryrock/base/ids.h"
+#include "gooseberryrock/directory/server_state.h"
+#include "gooseberryrock/directory/shard_replica.h"
+
+namespace gooseberryrock::directory {
+
+struct ServerRecord {
+  BackendServerId id;
+  // Rises with each start of the server.
+  uint64_t incarnation = 0;
+  ServerState state = ServerState::kStarting;
+  // Rises with each change that the server announces in this incarnation.
+  uint64_t sequence = 0;
+  ServiceName service;
+  FailureDomain failure_domain;
+  // Numeric IP address and TCP port of the server's HTTP port.
+  std::string host;
+  uint16_t port = 0;
+  std::map<std::string, std::string> labels;
+  std::vector<ShardReplica> replicas;
+  // Subqueries that the server runs at the same time.
+  uint32_t slots = 1;
+  // Connections that the server accepts from all nodes together.
+  uint32_t connection_limit = 1;
+  // The node that received the last announcement; only it decides expiry.
+  NodeId owner;
+  // Rises each time that another node becomes the owner.
+  uint64_t owner_epoch = 0;
+
+  bool operator==(const ServerRecord&) const = default;
+};
+
+}  // namespace gooseberryrock::directory
+
+#endif  // GOOSEBERRYROCK_DIRECTORY_SERVER_RECORD_H_
