--- /dev/null
+++ b/libs/query/include/gooseberryrock/query/query_plan.h
@@ -0,0 +1,57 @@
+// The snapshot and the shards of one query.
+
+#ifndef GOOSEBERRYROCK_QUERY_QUERY_PLAN_H_
+#define GOOSEBERRYROCK_QUERY_QUERY_PLAN_H_
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "gooseberryrock/base/ids.h"
+#include "gooseberryrock/query/snapshot.h"
+
+namespace gooseberryrock::catalog {
+struct ServiceDefinition;
+}  // namespace gooseberryrock::catalog
+
+namespace gooseberryrock::directory {
+struct ServerRecord;
+}  // namespace gooseberryrock::directory
+
+namespace gooseberryrock::query {
+
+struct QueryRequest;
+
+// The replicas of each shard for one snapshot of one service.
+using ReplicasByShard = std::map<ShardId, std::vector<BackendServerId>>;
+
+// All snapshots of one service and who can answer from them. Built when the
+// catalog or the directory changes, not for each query.
+struct RoutingTable {
+  std::map<Snapshot, ReplicasByShard> snapshots;
+};
+
+struct QueryPlan {
+  Snapshot snapshot;
+  // Shards that the request addresses, in the order of the layout.
+  std::vector<ShardId> shards;
+};
+
+// Collects the ready servers that the rules of `service` allow.
+RoutingTable BuildRoutingTable(
+    const catalog::ServiceDefinition& service,
+    const std::vector<const directory::ServerRecord*>& servers);
+
+// Pins `request` to the newest snapshot in which every addressed shard has a
+// replica, else to the newest one of those with the best coverage. Nothing when
+// the service has no layout. `newer_than` limits the choice to later snapshots,
+// for a query that starts again.
+std::optional<QueryPlan> PlanQuery(
+    const catalog::ServiceDefinition& service,
+    const RoutingTable& table,
+    const QueryRequest& request,
+    std::optional<Snapshot> newer_than = std::nullopt);
+
+}  // namespace gooseberryrock::query
+
+#endif  // GOOSEBERRYROCK_QUERY_QUERY_PLAN_H_
--- /dev/null
+++ b/libs/query/include/gooseberryrock/query/query_request.h
@@ -0,0 +1,34 @@
+// A caller's request.
+
+#ifndef GOOSEBERRYROCK_QUERY_QUERY_REQUEST_H_
+#define GOOSEBERRYROCK_QUERY_QUERY_REQUEST_H_
+
+#include <cstdint>
+#include <string>
+
+#include "gooseberryrock/base/ids.h"
+#include "gooseberryrock/base/rank.h"
+#include "gooseberryrock/base/time.h"
+
+namespace gooseberryrock::query {
+
+struct QueryRequest {
+  RequestId id;
+  ServiceName service;
+  std::string tenant;
+  Rank rank = Rank::kNormal;
+  // The answer is worthless after this time.
+  SteadyTime deadline;
+  // A non-idempotent request runs at most once, on the one shard that its
+  // routing key selects.
+  bool idempotent = true;
+  // Empty: the request goes to every shard.
+  std::string routing_key;
+  std::string text;
+  // Most rows in the answer.
+  uint32_t row_limit = 0;
+};
+
+}  // namespace gooseberryrock::query
+
+#endif  // GOOSEBERRYROCK_QUERY_QUERY_REQUEST_H_
--- /dev/null
+++ b/libs/query/include/gooseberryrock/query/query_state.h
@@ -0,0 +1,66 @@
+// The state of one running query.
+
+#ifndef GOOSEBERRYROCK_QUERY_QUERY_STATE_H_
+#define GOOSEBERRYROCK_QUERY_QUERY_STATE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gooseberryrock/base/ids.h"
+#include "gooseberryrock/base/time.h"
+#include "gooseberryrock/query/answer.h"
+#include "gooseberryrock/query/query_plan.h"
+#include "gooseberryrock/query/query_policy.h"
+#include "gooseberryrock/query/query_request.h"
+#include "gooseberryrock/query/subquery_reply.h"
+
+namespace gooseberryrock::query {
+
+struct AttemptState {
+  // Index into QueryState::shards.
+  size_t shard = 0;
+  // Empty until the attempt is routed.
+  BackendServerId server;
+};
+
+struct ShardState {
+  ShardId shard;
+  bool answered = false;
+  // No further attempt will be made.
+  bool given_up = false;
+  // An attempt on this shard may have run without a reply.
+  bool may_have_run = false;
+  // The server of the reply says that rows are missing.
+  bool rows_missing = false;
+  AttemptFailure last_failure = AttemptFailure::kNotSent;
+  uint32_t attempts_made = 0;
+  uint32_t attempts_open = 0;
+  // Servers that attempts of this query have used already.
+  std::vector<BackendServerId> tried;
+  std::vector<std::string> rows;
+};
+
+struct QueryState {
+  QueryRequest request;
+  QueryPolicy policy;
+  QueryPlan plan;
+  SteadyTime started;
+  // One element for each shard of the plan, in the same order.
+  std::vector<ShardState> shards;
+  // Open attempts only: a reply to any other attempt is dropped.
+  std::map<AttemptId, AttemptState> attempts;
+  // Shards neither answered nor given up.
+  size_t shards_open = 0;
+  bool hedged = false;
+  bool finished = false;
+  // Replies dropped: late, duplicate, foreign, or of another snapshot.
+  uint64_t dropped_replies = 0;
+};
+
+}  // namespace gooseberryrock::query
+
+#endif  // GOOSEBERRYROCK_QUERY_QUERY_STATE_H_
--- /dev/null
+++ b/libs/query/include/gooseberryrock/query/snapshot.h
@@ -0,0 +1,20 @@
+// The one state of the data that a query is answered from.
+
+#ifndef GOOSEBERRYROCK_QUERY_SNAPSHOT_H_
+#define GOOSEBERRYROCK_QUERY_SNAPSHOT_H_
+
+#include <compare>
+#include <cstdint>
+
+namespace gooseberryrock::query {
+
+struct Snapshot {
+  uint64_t layout_version = 0;
+  uint64_t index_version = 0;
+
+  auto operator<=>(const Snapshot&) const = default;
+};
+
+}  // namespace gooseberryrock::query
+
+#endif  // GOOSEBERRYROCK_QUERY_SNAPSHOT_H_
--- /dev/null
+++ b/libs/query/src/answer.cc
@@ -0,0 +1,69 @@
+// Names of statuses and reasons.
+
+#include "gooseberryrock/query/answer.h"
+
+namespace gooseberryrock::query {
+
+std::string_view AnswerStatusName(AnswerStatus status) {
+  switch (status) {
+    case AnswerStatus::kComplete:
+      return "complete";
+    case AnswerStatus::kPartial:
+      return "partial";
+    case AnswerStatus::kNotRun:
+      return "not_run";
+    case AnswerStatus::kOutcomeUnknown:
+      return "outcome_unknown";
+    case AnswerStatus::kFailed:
+      return "failed";
+  }
+  return "unknown";
+}
+
+std::string_view AnswerReasonName(AnswerReason reason) {
+  switch (reason) {
+    case AnswerReason::kNone:
+      return "";
+    case AnswerReason::kOverloaded:
+      return "overloaded";
+    case AnswerReason::kDeadlineTooShort:
+      return "deadline_too_short";
+    case AnswerReason::kDeadlinePassed:
+      return "deadline_passed";
+    case AnswerReason::kNoBackendServer:
+      return "no_backend_server";
+    case AnswerReason::kRefusedByBackendServers:
+      return "refused_by_backend_servers";
+    case AnswerReason::kStopping:
+      return "stopping";
+    case AnswerReason::kUnknownService:
+      return "unknown_service";
+    case AnswerReason::kNoQuorum:
+      return "no_quorum";
+    case AnswerReason::kRequestIdExpired:
+      return "request_id_expired";
+    case AnswerReason::kRequestIdReused:
+      return "request_id_reused";
+    case AnswerReason::kStillRunning:
+      return "still_running";
+    case AnswerReason::kCrashesBackendServers:
+      return "crashes_backend_servers";
+    case AnswerReason::kConnectionLost:
+      return "connection_lost";
+    case AnswerReason::kBackendServerError:
+      return "backend_server_error";
+    case AnswerReason::kRowLimit:
+      return "row_limit";
+  }
+  return "unknown";
+}
+
+Answer NotRun(AnswerReason reason, std::optional<Duration> retry_after) {
+  Answer answer;
+  answer.status = AnswerStatus::kNotRun;
+  answer.reason = reason;
+  answer.retry_after = retry_after;
+  return answer;
+}
+
+}  // namespace gooseberryrock::query
