http: server and asynchronous connections to backend servers

cxxtools::http::Client::beginExecute() keeps a pointer to the request until the reply has ended. A request on the stack gave wild reads (found by AddressSanitizer: an allocation of 0x7f5ca68520e1 bytes); the connection now owns it, and ReturnsWholeReply guards it.

--- /dev/null
+++ b/libs/http/include/gooseberryrock/http/backend_connection.h
@@ -0,0 +1,75 @@
+// One HTTP connection to a backend server, used from the thread of its
+// selector only.
+
+#ifndef GOOSEBERRYROCK_HTTP_BACKEND_CONNECTION_H_
+#define GOOSEBERRYROCK_HTTP_BACKEND_CONNECTION_H_
+
+#include <cxxtools/connectable.h>
+#include <cxxtools/http/client.h>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "gooseberryrock/base/time.h"
+#include "gooseberryrock/http/backend_call.h"
+#include "gooseberryrock/http/backend_result.h"
+
+namespace cxxtools {
+class Selector;
+namespace http {
+class Request;
+}  // namespace http
+}  // namespace cxxtools
+
+namespace gooseberryrock::http {
+
+class BackendConnection : public cxxtools::Connectable {
+ public:
+  BackendConnection(cxxtools::Selector& selector,
+                    const std::string& host,
+                    uint16_t port);
+  ~BackendConnection();
+
+  // Sends `call`; the connection must be idle.
+  void Begin(BackendCall call, SteadyTime now);
+
+  bool busy() const { return call_.has_value(); }
+  // Meaningful while busy.
+  const BackendCall& call() const { return *call_; }
+  // The reply of an abandoned call is read and dropped.
+  void Abandon() { abandoned_ = true; }
+  bool abandoned() const { return abandoned_; }
+
+  // Whether the call has ended; TakeResult() then makes the connection idle.
+  bool finished() const { return finished_; }
+  BackendResult TakeResult(SteadyTime now);
+
+  // The result of a call that is given up without a reply. The connection must
+  // be destroyed afterwards.
+  BackendResult GiveUp(SteadyTime now);
+
+  // Whether a further call may use the connection.
+  bool reusable() const { return reusable_; }
+
+ private:
+  void OnRequestSent(cxxtools::http::Client& client);
+  std::size_t OnBodyAvailable(cxxtools::http::Client& client);
+  void OnReplyFinished(cxxtools::http::Client& client);
+  void Fail(const std::exception& error);
+
+  // The client keeps a pointer to the request until the reply has ended.
+  std::unique_ptr<cxxtools::http::Request> request_;
+  cxxtools::http::Client client_;
+  std::optional<BackendCall> call_;
+  BackendResult result_;
+  SteadyTime begun_;
+  bool abandoned_ = false;
+  bool finished_ = false;
+  bool reusable_ = true;
+};
+
+}  // namespace gooseberryrock::http
+
+#endif  // GOOSEBERRYROCK_HTTP_BACKEND_CONNECTION_H_
--- /dev/null
+++ b/libs/http/include/gooseberryrock/http/http_server.h
@@ -0,0 +1,48 @@
+// An HTTP server that hands each request to one function.
+
+#ifndef GOOSEBERRYROCK_HTTP_HTTP_SERVER_H_
+#define GOOSEBERRYROCK_HTTP_HTTP_SERVER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "gooseberryrock/http/http_reply.h"
+#include "gooseberryrock/http/http_request.h"
+
+namespace gooseberryrock::http {
+
+struct HttpServerOptions {
+  // Numeric IP address and TCP port to listen on.
+  std::string host = "127.0.0.1";
+  uint16_t port = 0;
+  // Threads that run the handler. A thread stays with a kept-alive connection
+  // for about 10 ms after a reply, so that the rate is at most threads / (time
+  // in the handler + 10 ms) when there are many connections.
+  unsigned threads = 64;
+  size_t max_body_bytes = size_t{64} * 1024;
+};
+
+class HttpServer {
+ public:
+  // Called on several threads at once. An exception becomes a reply with
+  // status 500.
+  using Handler = std::function<HttpReply(const HttpRequest&)>;
+
+  // Listens at once. Throws HttpError when the address cannot be used.
+  HttpServer(const HttpServerOptions& options, Handler handler);
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+  // Stops listening and waits for the requests in flight.
+  ~HttpServer();
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace gooseberryrock::http
+
+#endif  // GOOSEBERRYROCK_HTTP_HTTP_SERVER_H_
