--- /dev/null
+++ b/libs/node/include/gooseberryrock/node/server_table.h
@@ -0,0 +1,57 @@
+// What this node knows of each backend server from its own attempts, in shards
+// by server id.
+
+#ifndef GOOSEBERRYROCK_NODE_SERVER_TABLE_H_
+#define GOOSEBERRYROCK_NODE_SERVER_TABLE_H_
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+#include "gooseberryrock/base/ids.h"
+#include "gooseberryrock/base/time.h"
+#include "gooseberryrock/query/server_view.h"
+
+namespace gooseberryrock::directory {
+struct ServerRecord;
+}  // namespace gooseberryrock::directory
+
+namespace gooseberryrock::node {
+
+class ServerTable {
+ public:
+  ServerTable(FailureDomain own_failure_domain, size_t shard_count);
+
+  // Adds the server or updates what it announced; keeps the estimates.
+  void Put(const directory::ServerRecord& record);
+  void Remove(const BackendServerId& server);
+
+  // Empty when the server is not known.
+  std::optional<query::ServerView> View(const BackendServerId& server) const;
+
+  void OnAttemptStarted(const BackendServerId& server);
+  // `service_time` is empty for an attempt that says nothing about it.
+  void OnAttemptEnded(const BackendServerId& server,
+                      bool failed,
+                      std::optional<Duration> service_time);
+
+  // Index of the shard that `server` belongs to, in [0, shard_count).
+  size_t ShardOf(const BackendServerId& server) const;
+
+ private:
+  struct Shard {
+    mutable std::mutex mutex;
+    // Guarded by `mutex`.
+    std::map<BackendServerId, query::ServerView> views;
+  };
+
+  const FailureDomain own_failure_domain_;
+  std::vector<std::unique_ptr<Shard>> shards_;
+};
+
+}  // namespace gooseberryrock::node
+
+#endif  // GOOSEBERRYROCK_NODE_SERVER_TABLE_H_
--- /dev/null
+++ b/libs/node/src/query_engine.cc
@@ -0,0 +1,212 @@
+// Runs queries: routes and sends their attempts and brings the results back.
+
+#include "gooseberryrock/node/query_engine.h"
+
+#include <algorithm>
+#include <random>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "backend.pb.h"
+#include "gooseberryrock/directory/server_record.h"
+#include "gooseberryrock/node/service_views.h"
+#include "gooseberryrock/proto/convert_subquery.h"
+#include "gooseberryrock/proto/json_codec.h"
+#include "gooseberryrock/proto/malformed_message_error.h"
+#include "gooseberryrock/query/query_plan.h"
+#include "gooseberryrock/query/routing.h"
+
+namespace gooseberryrock::node {
+
+namespace {
+
+constexpr int kHttpOk = 200;
+constexpr int kHttpUnavailable = 503;
+
+std::mt19937_64& ThreadRandom() {
+  thread_local std::mt19937_64 random{std::random_device{}()};
+  return random;
+}
+
+std::vector<query::ServerView> Candidates(const ServerTable& servers,
+                                          const ServiceView& view,
+                                          const query::AttemptToSend& attempt) {
+  std::vector<query::ServerView> candidates;
+  auto replicas = view.routing.snapshots.find(attempt.snapshot);
+  if (replicas == view.routing.snapshots.end()) {
+    return candidates;
+  }
+  auto shard = replicas->second.find(attempt.shard);
+  if (shard == replicas->second.end()) {
+    return candidates;
+  }
+  for (const BackendServerId& id : shard->second) {
+    if (auto candidate = servers.View(id)) {
+      candidates.push_back(std::move(*candidate));
+    }
+  }
+  return candidates;
+}
+
+std::string SubqueryBody(const query::QueryRequest& request,
+                         const query::AttemptToSend& attempt,
+                         SteadyTime now) {
+  proto::Subquery message;
+  message.set_attempt_id(attempt.id);
+  message.set_request_id(request.id.value);
+  message.set_service(request.service.value);
+  message.set_shard(attempt.shard.value);
+  message.set_layout_version(attempt.snapshot.layout_version);
+  message.set_index_version(attempt.snapshot.index_version);
+  message.set_rank(std::string(RankName(request.rank)));
+  message.set_idempotent(request.idempotent);
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      attempt.deadline - now);
+  message.set_deadline_ms(
+      static_cast<uint32_t>(std::max<int64_t>(left.count(), 0)));
+  message.set_text(request.text);
+  message.set_row_limit(request.row_limit);
+  return proto::ToJson(message);
+}
+
+using Outcome = std::variant<query::SubqueryReply, query::AttemptFailure>;
+
+Outcome OutcomeOf(const http::BackendResult& result) {
+  switch (result.kind) {
+    case http::BackendResultKind::kNotSent:
+      return query::AttemptFailure::kNotSent;
+    case http::BackendResultKind::kLost:
+      return query::AttemptFailure::kConnectionLost;
+    case http::BackendResultKind::kReply:
+      break;
+  }
+  if (result.http_status == kHttpUnavailable) {
+    return query::AttemptFailure::kRefused;
+  }
+  if (result.http_status != kHttpOk) {
+    return query::AttemptFailure::kServerError;
+  }
+  proto::SubqueryReply message;
+  try {
+    proto::FromJson(result.body, message, /*ignore_unknown=*/true);
+  } catch (const proto::MalformedMessageError&) {
+    return query::AttemptFailure::kConnectionLost;
+  }
+  // A reply to another attempt on this attempt's connection is not its reply.
+  if (message.attempt_id() != result.attempt) {
+    return query::AttemptFailure::kConnectionLost;
+  }
+  return proto::FromMessage(message);
+}
+
+}  // namespace
+
+QueryEngine::QueryEngine(const QueryEngineOptions& options,
+                         const ServiceViews& views)
+    : views_(views), servers_(options.failure_domain, options.io_shards) {
+  const size_t n = options.query_shards;
+  // The first multiple of `n` that no earlier incarnation has reached.
+  const query::AttemptId base = (options.first_attempt / n + 1) * n;
+  for (size_t i = 0; i < n; ++i) {
+    shards_.push_back(std::make_unique<QueryShard>(
+        query::AttemptIdSource{base + i, n},
+        [this, i](const QueryShard::Work& work) { CarryOut(i, work); }));
+  }
+  for (size_t i = 0; i < options.io_shards; ++i) {
+    channels_.push_back(std::make_unique<http::BackendChannel>(
+        [this](http::BackendResult result) { OnResult(std::move(result)); }));
+  }
+}
+
+QueryEngine::~QueryEngine() {
+  // The channels' threads use the shards.
+  channels_.clear();
+}
+
+query::Answer QueryEngine::Execute(const query::QueryRequest& request) {
+  auto view = views_.Find(request.service);
+  if (view == nullptr) {
+    return query::NotRun(query::AnswerReason::kUnknownService);
+  }
+  auto plan = query::PlanQuery(view->definition, view->routing, request);
+  if (!plan) {
+    return query::NotRun(query::AnswerReason::kNoBackendServer);
+  }
+  query::QueryState state;
+  state.request = request;
+  state.request.row_limit =
+      request.row_limit == 0
+          ? view->definition.row_limit
+          : std::min(request.row_limit, view->definition.row_limit);
+  state.plan = std::move(*plan);
+  const size_t shard = next_shard_.fetch_add(1) % shards_.size();
+  return shards_[shard]->Run(std::move(state), std::move(view));
+}
+
+void QueryEngine::OnServerChanged(const directory::ServerRecord& record,
+                                  uint32_t connections) {
+  http::BackendChannel& channel = *channels_[servers_.ShardOf(record.id)];
+  if (record.state == directory::ServerState::kGone) {
+    servers_.Remove(record.id);
+    channel.RemoveEndpoint(record.id);
+    return;
+  }
+  servers_.Put(record);
+  channel.SetEndpoint(record.id, {record.host, record.port, connections});
+}
+
+void QueryEngine::CarryOut(size_t shard, const QueryShard::Work& work) {
+  for (const query::AttemptToCancel& attempt : work.effects.cancel) {
+    proto::CancelRequest message;
+    message.set_attempt_id(attempt.id);
+    servers_.OnAttemptEnded(attempt.server, /*failed=*/false, std::nullopt);
+    channels_[servers_.ShardOf(attempt.server)]->Cancel(
+        attempt.server, attempt.id, proto::ToJson(message));
+  }
+  for (const query::AttemptToSend& attempt : work.effects.send) {
+    Send(shard, work, attempt);
+  }
+}
+
+void QueryEngine::Send(size_t shard,
+                       const QueryShard::Work& work,
+                       const query::AttemptToSend& attempt) {
+  const auto candidates = Candidates(servers_, *work.view, attempt);
+  const auto chosen = query::ChooseServer(
+      candidates, attempt.excluded, query::RoutingPolicy(), ThreadRandom());
+  if (!chosen) {
+    shards_[shard]->OnAttemptFailed(attempt.id,
+                                    query::AttemptFailure::kNotSent);
+    return;
+  }
+  const BackendServerId& server = candidates[*chosen].id;
+  if (!shards_[shard]->OnAttemptRouted(attempt.id, server)) {
+    return;
+  }
+  servers_.OnAttemptStarted(server);
+  channels_[servers_.ShardOf(server)]->Send(
+      {attempt.id, server, "/v1/subquery",
+       SubqueryBody(work.request, attempt, std::chrono::steady_clock::now()),
+       attempt.deadline, !work.request.idempotent});
+}
+
+void QueryEngine::OnResult(http::BackendResult result) {
+  Outcome outcome = OutcomeOf(result);
+  const bool ok = std::holds_alternative<query::SubqueryReply>(outcome);
+  servers_.OnAttemptEnded(result.server, !ok,
+                          ok ? std::optional(result.elapsed) : std::nullopt);
+  QueryShard& shard = ShardOfAttempt(result.attempt);
+  if (auto* reply = std::get_if<query::SubqueryReply>(&outcome)) {
+    shard.OnReply(std::move(*reply));
+  } else {
+    shard.OnAttemptFailed(result.attempt,
+                          std::get<query::AttemptFailure>(outcome));
+  }
+}
+
+QueryShard& QueryEngine::ShardOfAttempt(query::AttemptId attempt) {
+  return *shards_[attempt % shards_.size()];
+}
+
+}  // namespace gooseberryrock::node
--- /dev/null
+++ b/libs/node/src/query_shard.cc
@@ -0,0 +1,148 @@
+// The running queries of one query shard.
+
+#include "gooseberryrock/node/query_shard.h"
+
+#include <utility>
+
+namespace gooseberryrock::node {
+
+namespace {
+
+SteadyTime Now() {
+  return std::chrono::steady_clock::now();
+}
+
+}  // namespace
+
+QueryShard::QueryShard(query::AttemptIdSource ids, WorkHandler on_work)
+    : on_work_(std::move(on_work)), ids_(ids) {
+  timer_thread_ = std::thread([this] { RunTimers(); });
+}
+
+QueryShard::~QueryShard() {
+  {
+    std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  timers_changed_.notify_one();
+  timer_thread_.join();
+}
+
+query::Answer QueryShard::Run(query::QueryState state,
+                              std::shared_ptr<const ServiceView> view) {
+  std::unique_lock lock(mutex_);
+  const QueryNumber number = next_number_++;
+  Running& running = queries_[number];
+  running.state = std::move(state);
+  running.view = std::move(view);
+  Work work =
+      Record(number, running,
+             query::StartQuery(running.state, ids_,
+                               budgets_[running.state.request.service], Now()));
+  lock.unlock();
+  on_work_(work);
+  lock.lock();
+  running.answered.wait(lock, [&] { return running.answer.has_value(); });
+  query::Answer answer = std::move(*running.answer);
+  queries_.erase(number);
+  return answer;
+}
+
+bool QueryShard::OnAttemptRouted(query::AttemptId attempt,
+                                 const BackendServerId& server) {
+  std::lock_guard lock(mutex_);
+  auto it = attempts_.find(attempt);
+  if (it == attempts_.end()) {
+    return false;
+  }
+  return query::OnAttemptRouted(queries_.at(it->second).state, attempt, server);
+}
+
+void QueryShard::OnReply(query::SubqueryReply reply) {
+  const query::AttemptId attempt = reply.attempt;
+  ApplyToAttempt(attempt, [&](Running& running) {
+    return query::OnReply(running.state, std::move(reply), Now());
+  });
+}
+
+void QueryShard::OnAttemptFailed(query::AttemptId attempt,
+                                 query::AttemptFailure failure) {
+  ApplyToAttempt(attempt, [&](Running& running) {
+    return query::OnAttemptFailed(running.state, attempt, failure, ids_,
+                                  budgets_[running.state.request.service],
+                                  Now());
+  });
+}
+
+void QueryShard::ApplyToAttempt(query::AttemptId attempt, const Event& event) {
+  QueryNumber number = 0;
+  {
+    std::lock_guard lock(mutex_);
+    auto it = attempts_.find(attempt);
+    if (it == attempts_.end()) {
+      return;
+    }
+    number = it->second;
+    attempts_.erase(it);
+  }
+  Apply(number, event);
+}
+
+void QueryShard::Apply(QueryNumber number, const Event& event) {
+  Work work;
+  {
+    std::lock_guard lock(mutex_);
+    auto it = queries_.find(number);
+    if (it == queries_.end() || it->second.answer) {
+      return;
+    }
+    work = Record(number, it->second, event(it->second));
+  }
+  on_work_(work);
+}
+
+QueryShard::Work QueryShard::Record(QueryNumber number,
+                                    Running& running,
+                                    query::QueryEffects effects) {
+  for (const query::AttemptToSend& attempt : effects.send) {
+    attempts_[attempt.id] = number;
+  }
+  for (const query::AttemptToCancel& attempt : effects.cancel) {
+    attempts_.erase(attempt.id);
+  }
+  if (effects.next_timer) {
+    timers_.emplace(*effects.next_timer, number);
+    timers_changed_.notify_one();
+  }
+  Work work{number, running.view, running.state.request, std::move(effects)};
+  if (work.effects.answer) {
+    running.answer = std::move(work.effects.answer);
+    work.effects.answer.reset();
+    running.answered.notify_one();
+  }
+  return work;
+}
+
+void QueryShard::RunTimers() {
+  std::unique_lock lock(mutex_);
+  while (!stopping_) {
+    if (timers_.empty()) {
+      timers_changed_.wait(lock);
+      continue;
+    }
+    const auto [due, number] = *timers_.begin();
+    if (Now() < due) {
+      timers_changed_.wait_until(lock, due);
+      continue;
+    }
+    timers_.erase(timers_.begin());
+    lock.unlock();
+    Apply(number, [this](Running& running) {
+      return query::OnTimer(running.state, ids_,
+                            budgets_[running.state.request.service], Now());
+    });
+    lock.lock();
+  }
+}
+
+}  // namespace gooseberryrock::node
