--- a/libs/http/include/gooseberryrock/http/backend_connection.h
+++ b/libs/http/include/gooseberryrock/http/backend_connection.h
@@ -30,7 +30,7 @@
   BackendConnection(cxxtools::Selector& selector,
                     const std::string& host,
                     uint16_t port);
-  ~BackendConnection();
+  ~BackendConnection() override;
 
   // Sends `call`; the connection must be idle.
   void Begin(BackendCall call, SteadyTime now);
