proto, peer: authenticated frames between nodes

Cause: nodes have no way to exchange anything yet. Ruled out: a receiver per peer (one ROUTER takes all peers, also those that are not known yet), and queueing in ZeroMQ while a peer is away (its queue drops the newest frames and cannot be bounded in bytes). Change: proto/peer.proto with the messages between nodes, conversions of directory records, SealFrame and OpenFrame with typed refusals, and PeerSocket with one thread that owns the sockets. A frame also names its receiver, so a copy that is sent to another node is refused. Sequence numbers rise for each receiver; a frame that is not above the last one of its sender and incarnation is dropped as a replay. Conclusion: the node runtime can be written against peer_socket.h.

--- /dev/null
+++ b/libs/peer/include/gooseberryrock/peer/frame_kind.h
@@ -0,0 +1,29 @@
+// Which message of proto/peer.proto the body of a frame holds.
+
+#ifndef GOOSEBERRYROCK_PEER_FRAME_KIND_H_
+#define GOOSEBERRYROCK_PEER_FRAME_KIND_H_
+
+#include <cstdint>
+
+namespace gooseberryrock::peer {
+
+// The values are part of the protocol.
+enum class FrameKind : uint32_t {
+  // Opaque here; encoded by the consensus code.
+  kConsensus = 1,
+  kForwardRequest = 2,
+  kForwardReply = 3,
+  kCatalogPoll = 4,
+  kCatalogPollReply = 5,
+  kDirectoryDelta = 6,
+  kDirectoryDigest = 7,
+  kDirectoryPull = 8,
+  kPeerHeartbeat = 9,
+  kCrashSuspicion = 10,
+};
+
+inline constexpr uint32_t kMaxFrameKind = 10;
+
+}  // namespace gooseberryrock::peer
+
+#endif  // GOOSEBERRYROCK_PEER_FRAME_KIND_H_
--- /dev/null
+++ b/libs/peer/include/gooseberryrock/peer/peer_stats.h
@@ -0,0 +1,36 @@
+// Counters of a node's exchange with the other nodes.
+
+#ifndef GOOSEBERRYROCK_PEER_PEER_STATS_H_
+#define GOOSEBERRYROCK_PEER_PEER_STATS_H_
+
+#include <array>
+#include <cstdint>
+
+#include "gooseberryrock/peer/frame_error.h"
+
+namespace gooseberryrock::peer {
+
+struct PeerStats {
+  uint64_t sent_frames = 0;
+  uint64_t sent_bytes = 0;
+  uint64_t received_frames = 0;
+  uint64_t received_bytes = 0;
+  // Refused frames by FrameFault.
+  std::array<uint64_t, kFrameFaultCount> refused{};
+  // Frames of an earlier incarnation of their sender.
+  uint64_t stale_incarnation = 0;
+  // Frames whose sequence number is not above the last one of their sender.
+  uint64_t replayed = 0;
+  // Frames dropped because the queue of their receiver was full.
+  uint64_t queue_full = 0;
+  // Frames to nodes that are no peers.
+  uint64_t unknown_receiver = 0;
+  // Frames dropped by SetBlocked().
+  uint64_t blocked = 0;
+  // Frames whose handler threw an exception.
+  uint64_t handler_errors = 0;
+};
+
+}  // namespace gooseberryrock::peer
+
+#endif  // GOOSEBERRYROCK_PEER_PEER_STATS_H_
--- /dev/null
+++ b/tests/peer/peer_socket_test.cc
@@ -0,0 +1,153 @@
+// Frames between sockets on loopback.
+
+#include "gooseberryrock/peer/peer_socket.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+#include "gooseberryrock/peer/frame.h"
+#include "gooseberryrock/peer/peer_socket_error.h"
+
+namespace gooseberryrock::peer {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Collects the bodies of received frames.
+class Inbox {
+ public:
+  void Add(const PeerFrame& frame) {
+    std::lock_guard lock(mutex_);
+    bodies_.push_back(frame.body);
+    changed_.notify_all();
+  }
+
+  // Waits until `body` was received; false after two seconds.
+  bool WaitFor(const std::string& body) {
+    std::unique_lock lock(mutex_);
+    return changed_.wait_for(lock, seconds(2), [&] {
+      return std::find(bodies_.begin(), bodies_.end(), body) != bodies_.end();
+    });
+  }
+
+  std::vector<std::string> Bodies() {
+    std::lock_guard lock(mutex_);
+    return bodies_;
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::vector<std::string> bodies_;
+};
+
+std::unique_ptr<PeerSocket> Open(const std::string& node,
+                                 uint64_t incarnation,
+                                 Inbox& inbox,
+                                 uint16_t port = 0) {
+  PeerSocketOptions options;
+  options.cluster = "salon";
+  options.cluster_key = "a cluster key";
+  options.self = {{node}, "127.0.0.1", port};
+  options.incarnation = incarnation;
+  options.max_queued_frames = 8;
+  return std::make_unique<PeerSocket>(
+      options, [&inbox](const PeerFrame& frame) { inbox.Add(frame); });
+}
+
+class PeerSocketTest : public testing::Test {
+ protected:
+  void Send(const std::string& body) {
+    a_->Send({"b"}, FrameKind::kConsensus, body);
+  }
+
+  Inbox inbox_a_;
+  Inbox inbox_b_;
+  std::unique_ptr<PeerSocket> a_ = Open("a", 5, inbox_a_);
+  std::unique_ptr<PeerSocket> b_ = Open("b", 5, inbox_b_);
+  const PeerAddress address_b_{{"b"}, "127.0.0.1", b_->port()};
+};
+
+TEST_F(PeerSocketTest, DeliversInOrderAndReplies) {
+  a_->AddPeer(address_b_);
+  b_->AddPeer({{"a"}, "127.0.0.1", a_->port()});
+  for (int i = 0; i < 5; ++i) {
+    Send(std::to_string(i));
+  }
+  ASSERT_TRUE(inbox_b_.WaitFor("4"));
+  EXPECT_EQ(inbox_b_.Bodies(),
+            (std::vector<std::string>{"0", "1", "2", "3", "4"}));
+  b_->Send({"a"}, FrameKind::kConsensus, "reply");
+  EXPECT_TRUE(inbox_a_.WaitFor("reply"));
+}
+
+// Guards against memory that grows while a peer is away, and against a peer
+// that gets the oldest news only.
+TEST_F(PeerSocketTest, FullQueueDropsOldest) {
+  b_.reset();
+  a_->AddPeer(address_b_);
+  for (int i = 0; i < 20; ++i) {
+    Send(std::to_string(i));
+  }
+  EXPECT_EQ(a_->Stats().queue_full, 12U);
+  b_ = Open("b", 6, inbox_b_, address_b_.port);
+  ASSERT_TRUE(inbox_b_.WaitFor("19"));
+  EXPECT_EQ(inbox_b_.Bodies().size(), 8U);
+}
+
+// Guards against messages of a process that has restarted since.
+TEST_F(PeerSocketTest, DropsFramesOfEarlierIncarnation) {
+  Inbox unused;
+  auto late = Open("a", 4, unused);
+  late->AddPeer(address_b_);
+  a_->AddPeer(address_b_);
+  Send("new");
+  ASSERT_TRUE(inbox_b_.WaitFor("new"));
+  late->Send({"b"}, FrameKind::kConsensus, "old");
+  for (int n = 0; n < 200 && b_->Stats().stale_incarnation == 0; ++n) {
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  EXPECT_EQ(b_->Stats().stale_incarnation, 1U);
+  EXPECT_EQ(inbox_b_.Bodies(), std::vector<std::string>{"new"});
+}
+
+// Guards against a cut switch that works in one direction only.
+TEST_F(PeerSocketTest, BlocksEachDirectionAtRunTime) {
+  a_->AddPeer(address_b_);
+  a_->SetBlocked({"b"}, Direction::kOutgoing, true);
+  Send("1");
+  a_->SetBlocked({"b"}, Direction::kOutgoing, false);
+  Send("2");
+  ASSERT_TRUE(inbox_b_.WaitFor("2"));
+  b_->SetBlocked({"a"}, Direction::kIncoming, true);
+  Send("3");
+  for (int n = 0; n < 200 && b_->Stats().blocked == 0; ++n) {
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  b_->SetBlocked({"a"}, Direction::kIncoming, false);
+  Send("4");
+  ASSERT_TRUE(inbox_b_.WaitFor("4"));
+  EXPECT_EQ(inbox_b_.Bodies(), (std::vector<std::string>{"2", "4"}));
+}
+
+// Guards against a shutdown that waits for an unreachable peer.
+TEST_F(PeerSocketTest, StopsPromptlyWithUnreachablePeer) {
+  b_.reset();
+  a_->AddPeer(address_b_);
+  Send("x");
+  const SteadyTime start = std::chrono::steady_clock::now();
+  a_.reset();
+  EXPECT_LT(std::chrono::steady_clock::now() - start, milliseconds(500));
+}
+
+TEST_F(PeerSocketTest, AddressInUseIsAnError) {
+  EXPECT_THROW(Open("c", 1, inbox_a_, b_->port()), PeerSocketError);
+}
+
+}  // namespace
+}  // namespace gooseberryrock::peer
