--- /dev/null
+++ b/libs/node/include/gooseberryrock/node/at_most_once.h
@@ -0,0 +1,58 @@
+// Runs non-idempotent requests at most once: claims the request id in the
+// replicated log, runs the request, and records its outcome there.
+
+#ifndef GOOSEBERRYROCK_NODE_AT_MOST_ONCE_H_
+#define GOOSEBERRYROCK_NODE_AT_MOST_ONCE_H_
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+
+#include "gooseberryrock/base/ids.h"
+#include "gooseberryrock/query/answer.h"
+
+namespace gooseberryrock::query {
+struct QueryRequest;
+}  // namespace gooseberryrock::query
+
+namespace gooseberryrock::node {
+
+class ControlClient;
+class QueryEngine;
+
+// The answer to a non-idempotent request that is refused before its claim was
+// read. An earlier send of the request may have run, so that "not run" is true
+// only when the caller says that there was none.
+query::Answer RefuseUnclaimed(const query::QueryRequest& request,
+                              query::AnswerReason reason);
+
+class AtMostOnceExecutor {
+ public:
+  // `incarnation` rises with each start of the node.
+  AtMostOnceExecutor(NodeId self,
+                     uint64_t incarnation,
+                     ControlClient& control,
+                     QueryEngine& engine);
+
+  // Runs the request unless it has run, and returns the first outcome if it
+  // has. Waits until the deadline at most.
+  query::Answer Execute(const query::QueryRequest& request);
+
+ private:
+  query::Answer Run(const query::QueryRequest& request, uint64_t token);
+  void RecordOutcome(const query::QueryRequest& request,
+                     uint64_t token,
+                     const query::Answer& answer);
+  void Release(const query::QueryRequest& request, uint64_t token);
+
+  const NodeId self_;
+  ControlClient& control_;
+  QueryEngine& engine_;
+  // Tells the claims of one node apart. Starts at a value that no earlier
+  // incarnation of the node has reached.
+  std::atomic<uint64_t> next_token_;
+};
+
+}  // namespace gooseberryrock::node
+
+#endif  // GOOSEBERRYROCK_NODE_AT_MOST_ONCE_H_
--- /dev/null
+++ b/libs/node/include/gooseberryrock/node/state_machine.h
@@ -0,0 +1,25 @@
+// The state machine that a replicated log drives.
+
+#ifndef GOOSEBERRYROCK_NODE_STATE_MACHINE_H_
+#define GOOSEBERRYROCK_NODE_STATE_MACHINE_H_
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace gooseberryrock::node {
+
+// All functions are called on the log's thread. `apply` and `restore` must be
+// deterministic, so that all replicas come to the same state.
+struct StateMachine {
+  // Applies a committed entry and returns its result.
+  std::function<std::string(std::string_view payload)> apply;
+  // The whole state.
+  std::function<std::string()> snapshot;
+  // Replaces the state by one that `snapshot` returned.
+  std::function<void(std::string_view data)> restore;
+};
+
+}  // namespace gooseberryrock::node
+
+#endif  // GOOSEBERRYROCK_NODE_STATE_MACHINE_H_
--- /dev/null
+++ b/libs/node/src/at_most_once.cc
@@ -0,0 +1,132 @@
+// Runs non-idempotent requests at most once.
+
+#include "gooseberryrock/node/at_most_once.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "gooseberryrock/base/hash.h"
+#include "gooseberryrock/node/control_client.h"
+#include "gooseberryrock/node/query_engine.h"
+#include "gooseberryrock/proto/convert_answer.h"
+#include "gooseberryrock/query/query_request.h"
+
+namespace gooseberryrock::node {
+
+namespace {
+
+// Part of the time to the deadline that may be spent on the claim. The rest is
+// for the request itself.
+constexpr int kClaimShare = 2;
+// How long the outcome may take to be recorded; the caller waits meanwhile.
+constexpr Duration kRecordTimeout = std::chrono::seconds(1);
+
+SteadyTime Now() {
+  return std::chrono::steady_clock::now();
+}
+
+uint64_t ContentHash(const query::QueryRequest& request) {
+  uint64_t hash = Hash64(request.service.value);
+  hash = Hash64(request.routing_key, hash);
+  return Hash64(request.text, hash);
+}
+
+query::Answer Unknown(query::AnswerReason reason) {
+  query::Answer answer;
+  answer.status = query::AnswerStatus::kOutcomeUnknown;
+  answer.reason = reason;
+  return answer;
+}
+
+// The answer that belongs to a claim that was not granted.
+query::Answer AnswerOf(const query::QueryRequest& request,
+                       const proto::ClaimReply& reply) {
+  switch (reply.status()) {
+    case proto::CLAIM_ALREADY:
+      return reply.has_outcome() ? proto::DecodeAnswer(reply.outcome())
+                                 : Unknown(query::AnswerReason::kStillRunning);
+    case proto::CLAIM_ID_REUSED:
+      return query::NotRun(query::AnswerReason::kRequestIdReused);
+    case proto::CLAIM_ID_EXPIRED:
+    case proto::CLAIM_ID_MALFORMED:
+      return Unknown(query::AnswerReason::kRequestIdExpired);
+    case proto::CLAIM_OVERLOADED:
+      return RefuseUnclaimed(request, query::AnswerReason::kOverloaded);
+    default:
+      return RefuseUnclaimed(request, query::AnswerReason::kNoQuorum);
+  }
+}
+
+}  // namespace
+
+query::Answer RefuseUnclaimed(const query::QueryRequest& request,
+                              query::AnswerReason reason) {
+  return request.first_send ? query::NotRun(reason) : Unknown(reason);
+}
+
+AtMostOnceExecutor::AtMostOnceExecutor(NodeId self,
+                                       uint64_t incarnation,
+                                       ControlClient& control,
+                                       QueryEngine& engine)
+    : self_(std::move(self)),
+      control_(control),
+      engine_(engine),
+      next_token_(incarnation) {}
+
+query::Answer AtMostOnceExecutor::Execute(const query::QueryRequest& request) {
+  const uint64_t token = next_token_++;
+  proto::ForwardRequest call;
+  proto::ClaimRequest& claim = *call.mutable_claim();
+  claim.set_request_id(request.id.value);
+  claim.set_content_hash(ContentHash(request));
+  claim.set_node(self_.value);
+  claim.set_node_incarnation(token);
+  const Duration left = request.deadline - Now();
+  const CallResult result = control_.Call(std::move(call), left / kClaimShare);
+  if (result.status != CallStatus::kDone) {
+    return RefuseUnclaimed(request, query::AnswerReason::kNoQuorum);
+  }
+  const proto::ClaimReply& reply = result.reply.claim();
+  if (reply.status() != proto::CLAIM_GRANTED) {
+    return AnswerOf(request, reply);
+  }
+  return Run(request, token);
+}
+
+query::Answer AtMostOnceExecutor::Run(const query::QueryRequest& request,
+                                      uint64_t token) {
+  query::Answer answer = engine_.Execute(request);
+  if (answer.status == query::AnswerStatus::kNotRun) {
+    Release(request, token);
+  } else if (answer.status != query::AnswerStatus::kOutcomeUnknown) {
+    RecordOutcome(request, token, answer);
+  }
+  return answer;
+}
+
+void AtMostOnceExecutor::RecordOutcome(const query::QueryRequest& request,
+                                       uint64_t token,
+                                       const query::Answer& answer) {
+  proto::ForwardRequest call;
+  proto::OutcomeRequest& outcome = *call.mutable_outcome();
+  outcome.set_request_id(request.id.value);
+  outcome.set_node(self_.value);
+  outcome.set_node_incarnation(token);
+  outcome.set_outcome(proto::EncodeAnswer(answer));
+  control_.Call(std::move(call),
+                std::min<Duration>(kRecordTimeout, request.deadline - Now()));
+}
+
+void AtMostOnceExecutor::Release(const query::QueryRequest& request,
+                                 uint64_t token) {
+  proto::ForwardRequest call;
+  proto::ReleaseRequest& release = *call.mutable_release();
+  release.set_request_id(request.id.value);
+  release.set_node(self_.value);
+  release.set_node_incarnation(token);
+  control_.Call(std::move(call),
+                std::min<Duration>(kRecordTimeout, request.deadline - Now()));
+}
+
+}  // namespace gooseberryrock::node
--- /dev/null
+++ b/libs/node/src/control_client.cc
@@ -0,0 +1,242 @@
+// Calls on the replicated log from any node.
+
+#include "gooseberryrock/node/control_client.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "control.pb.h"
+#include "gooseberryrock/node/replicated_log.h"
+
+namespace gooseberryrock::node {
+
+namespace {
+
+// A leader that has not answered by then may have failed: ask the next VM.
+constexpr Duration kTryTimeout = std::chrono::milliseconds(500);
+// Pause before the next VM is asked when one answers that it does not lead.
+constexpr Duration kRetryPause = std::chrono::milliseconds(30);
+
+SteadyTime Now() {
+  return std::chrono::steady_clock::now();
+}
+
+uint64_t WallMilliseconds() {
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+// The log entry for a call.
+std::string EncodeEntry(const proto::ForwardRequest& request) {
+  proto::ControlEntry entry;
+  entry.set_leader_wall_ms(WallMilliseconds());
+  switch (request.call_case()) {
+    case proto::ForwardRequest::kCommand:
+      *entry.mutable_command() = request.command();
+      break;
+    case proto::ForwardRequest::kClaim:
+      *entry.mutable_claim() = request.claim();
+      break;
+    case proto::ForwardRequest::kOutcome:
+      *entry.mutable_outcome() = request.outcome();
+      break;
+    case proto::ForwardRequest::kRelease:
+      *entry.mutable_release() = request.release();
+      break;
+    default:
+      break;
+  }
+  return entry.SerializeAsString();
+}
+
+consensus::MembershipChange ToChange(
+    const proto::ChangeMembershipRequest& request) {
+  consensus::MembershipChange change;
+  switch (request.action()) {
+    case proto::PROMOTE:
+      change.action = consensus::MembershipAction::kPromote;
+      break;
+    case proto::REMOVE:
+      change.action = consensus::MembershipAction::kRemove;
+      break;
+    default:
+      change.action = consensus::MembershipAction::kAddLearner;
+      break;
+  }
+  change.node.value = request.node();
+  change.storage_id = request.storage_id();
+  change.peer_address = request.peer_address();
+  return change;
+}
+
+proto::ForwardReply NotLeaderReply(const SubmitResult& result) {
+  proto::ForwardReply reply;
+  reply.set_not_leader(true);
+  reply.set_leader(result.leader.value);
+  return reply;
+}
+
+proto::ForwardReply MembershipReply(const SubmitResult& result) {
+  proto::ForwardReply reply;
+  auto& membership = *reply.mutable_membership();
+  switch (result.status) {
+    case SubmitStatus::kDone:
+      membership.set_status(proto::ACCEPTED);
+      break;
+    case SubmitStatus::kRejected:
+      membership.set_status(proto::INVALID);
+      membership.add_problems(result.result);
+      break;
+    case SubmitStatus::kNotRun:
+      return NotLeaderReply(result);
+    case SubmitStatus::kUnknown:
+      membership.set_status(proto::OUTCOME_UNKNOWN);
+      break;
+  }
+  return reply;
+}
+
+// A reply without any field set but the correlation id says that the outcome is
+// unknown.
+proto::ForwardReply EntryReply(const SubmitResult& result) {
+  if (result.status == SubmitStatus::kNotRun ||
+      result.status == SubmitStatus::kRejected) {
+    return NotLeaderReply(result);
+  }
+  proto::ForwardReply reply;
+  if (result.status == SubmitStatus::kDone) {
+    reply.ParseFromString(result.result);
+  }
+  return reply;
+}
+
+bool IsAnswer(const proto::ForwardReply& reply) {
+  return !reply.not_leader() &&
+         reply.reply_case() != proto::ForwardReply::REPLY_NOT_SET;
+}
+
+}  // namespace
+
+ControlClient::ControlClient(const ControlClientOptions& options,
+                             ReplicatedLog* log,
+                             RequestSender send_request,
+                             ReplySender send_reply,
+                             Reader read)
+    : options_(options),
+      log_(log),
+      send_request_(std::move(send_request)),
+      send_reply_(std::move(send_reply)),
+      read_(std::move(read)) {}
+
+CallResult ControlClient::Call(proto::ForwardRequest call, Duration timeout) {
+  const SteadyTime deadline = Now() + timeout;
+  CallResult result;
+  for (size_t attempt = 0; Now() < deadline; ++attempt) {
+    const NodeId target = NextTarget(attempt);
+    if (target.empty()) {
+      return result;
+    }
+    auto reply = Try(target, call, std::min(deadline, Now() + kTryTimeout));
+    if (reply && IsAnswer(*reply)) {
+      return {CallStatus::kDone, std::move(*reply)};
+    }
+    if (!reply || !reply->not_leader()) {
+      result.status = CallStatus::kUnknown;
+    }
+    std::unique_lock lock(mutex_);
+    leader_.value = reply ? reply->leader() : "";
+    if (leader_.empty() || leader_ == target) {
+      leader_ = {};
+      replied_.wait_until(lock, std::min(deadline, Now() + kRetryPause),
+                          [] { return false; });
+    }
+  }
+  return result;
+}
+
+NodeId ControlClient::NextTarget(size_t attempt) const {
+  if (log_ != nullptr) {
+    const NodeId leader = log_->Status().leader;
+    if (!leader.empty()) {
+      return leader;
+    }
+  }
+  std::lock_guard lock(mutex_);
+  if (!leader_.empty()) {
+    return leader_;
+  }
+  if (options_.control_nodes.empty()) {
+    return {};
+  }
+  return options_.control_nodes[attempt % options_.control_nodes.size()];
+}
+
+std::optional<proto::ForwardReply> ControlClient::Try(
+    const NodeId& target,
+    proto::ForwardRequest& call,
+    SteadyTime until) {
+  std::unique_lock lock(mutex_);
+  const uint64_t id = next_correlation_id_++;
+  waiting_[id];
+  lock.unlock();
+  call.set_correlation_id(id);
+  if (target == options_.self) {
+    RunLocally(call, [this](const proto::ForwardReply& it) { OnReply(it); });
+  } else {
+    send_request_(target, call);
+  }
+  lock.lock();
+  replied_.wait_until(lock, until,
+                      [&] { return waiting_[id].reply.has_value(); });
+  auto reply = std::move(waiting_[id].reply);
+  waiting_.erase(id);
+  return reply;
+}
+
+void ControlClient::RunLocally(
+    const proto::ForwardRequest& request,
+    std::function<void(proto::ForwardReply)> done) {
+  const uint64_t id = request.correlation_id();
+  auto finish = [id, done = std::move(done)](proto::ForwardReply reply) {
+    reply.set_correlation_id(id);
+    done(std::move(reply));
+  };
+  if (log_ == nullptr) {
+    finish(NotLeaderReply({}));
+  } else if (request.has_membership()) {
+    log_->ChangeMembership(
+        ToChange(request.membership()),
+        [finish](const SubmitResult& it) { finish(MembershipReply(it)); });
+  } else if (request.has_read()) {
+    log_->Read(read_,
+               [finish](const SubmitResult& it) { finish(EntryReply(it)); });
+  } else if (request.call_case() != proto::ForwardRequest::CALL_NOT_SET) {
+    log_->Submit(EncodeEntry(request),
+                 [finish](const SubmitResult& it) { finish(EntryReply(it)); });
+  } else {
+    finish(NotLeaderReply({}));
+  }
+}
+
+void ControlClient::OnRequest(const NodeId& from,
+                              const proto::ForwardRequest& request) {
+  RunLocally(request, [this, from](const proto::ForwardReply& reply) {
+    send_reply_(from, reply);
+  });
+}
+
+void ControlClient::OnReply(const proto::ForwardReply& reply) {
+  {
+    std::lock_guard lock(mutex_);
+    auto it = waiting_.find(reply.correlation_id());
+    if (it == waiting_.end()) {
+      return;
+    }
+    it->second.reply = reply;
+  }
+  replied_.notify_all();
+}
+
+}  // namespace gooseberryrock::node
--- a/libs/proto/include/gooseberryrock/proto/convert_answer.h
+++ b/libs/proto/include/gooseberryrock/proto/convert_answer.h
@@ -1,8 +1,11 @@
-// Conversion of answers to the message that callers get.
+// Conversion of answers to the message that callers get, and the encoding in
+// which the replicated log keeps them.
 
 #ifndef GOOSEBERRYROCK_PROTO_CONVERT_ANSWER_H_
 #define GOOSEBERRYROCK_PROTO_CONVERT_ANSWER_H_
 
+#include <string>
+
 #include "gooseberryrock/base/ids.h"
 
 namespace gooseberryrock::query {
@@ -15,6 +18,11 @@
 
 QueryAnswer ToMessage(const RequestId& request, const query::Answer& answer);
 
+std::string EncodeAnswer(const query::Answer& answer);
+
+// Throws MalformedMessageError.
+query::Answer DecodeAnswer(const std::string& bytes);
+
 }  // namespace gooseberryrock::proto
 
 #endif  // GOOSEBERRYROCK_PROTO_CONVERT_ANSWER_H_
--- a/libs/proto/src/convert_answer.cc
+++ b/libs/proto/src/convert_answer.cc
@@ -3,6 +3,7 @@
 #include "gooseberryrock/proto/convert_answer.h"
 
 #include "caller.pb.h"
+#include "gooseberryrock/proto/malformed_message_error.h"
 #include "gooseberryrock/query/answer.h"
 
 namespace gooseberryrock::proto {
@@ -35,4 +36,30 @@
   return message;
 }
 
+std::string EncodeAnswer(const query::Answer& answer) {
+  return ToMessage(RequestId(), answer).SerializeAsString();
+}
+
+query::Answer DecodeAnswer(const std::string& bytes) {
+  QueryAnswer message;
+  if (!message.ParseFromString(bytes)) {
+    throw MalformedMessageError("a recorded answer cannot be decoded");
+  }
+  const auto status = query::ParseAnswerStatus(message.status());
+  const auto reason = query::ParseAnswerReason(message.reason());
+  if (!status || !reason) {
+    throw MalformedMessageError("a recorded answer has an unknown status");
+  }
+  query::Answer answer;
+  answer.status = *status;
+  answer.reason = *reason;
+  answer.snapshot = {message.layout_version(), message.index_version()};
+  answer.shards_total = message.coverage().shards_total();
+  for (const auto& shard : message.coverage().missing_shards()) {
+    answer.missing_shards.push_back({shard});
+  }
+  answer.rows.assign(message.rows().begin(), message.rows().end());
+  return answer;
+}
+
 }  // namespace gooseberryrock::proto
--- a/libs/query/include/gooseberryrock/query/answer.h
+++ b/libs/query/include/gooseberryrock/query/answer.h
@@ -66,6 +66,10 @@
 // Snake case name of `reason`; empty for kNone.
 std::string_view AnswerReasonName(AnswerReason reason);
 
+// The status or reason with the name `name`, or nothing when there is none.
+std::optional<AnswerStatus> ParseAnswerStatus(std::string_view name);
+std::optional<AnswerReason> ParseAnswerReason(std::string_view name);
+
 // An answer of a request that did not run.
 Answer NotRun(AnswerReason reason,
               std::optional<Duration> retry_after = std::nullopt);
--- a/libs/query/include/gooseberryrock/query/query_request.h
+++ b/libs/query/include/gooseberryrock/query/query_request.h
@@ -22,6 +22,9 @@
   // A non-idempotent request runs at most once, on the one shard that its
   // routing key selects.
   bool idempotent = true;
+  // The caller says that it has not sent this request before. Only then may a
+  // non-idempotent request be refused as "not run" without reading its claim.
+  bool first_send = false;
   // Empty: the request goes to every shard.
   std::string routing_key;
   std::string text;
--- a/libs/query/src/answer.cc
+++ b/libs/query/src/answer.cc
@@ -4,6 +4,24 @@
 
 namespace gooseberryrock::query {
 
+namespace {
+
+// The value of an enum from 0 to `last` whose name is `name`.
+template <typename Enum>
+std::optional<Enum> ParseName(std::string_view name,
+                              Enum last,
+                              std::string_view (*name_of)(Enum)) {
+  for (int i = 0; i <= static_cast<int>(last); ++i) {
+    const auto value = static_cast<Enum>(i);
+    if (name_of(value) == name) {
+      return value;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
 std::string_view AnswerStatusName(AnswerStatus status) {
   switch (status) {
     case AnswerStatus::kComplete:
@@ -58,6 +76,16 @@
   return "unknown";
 }
 
+std::optional<AnswerStatus> ParseAnswerStatus(std::string_view name) {
+  return ParseName<AnswerStatus>(name, AnswerStatus::kFailed,
+                                 AnswerStatusName);
+}
+
+std::optional<AnswerReason> ParseAnswerReason(std::string_view name) {
+  return ParseName<AnswerReason>(name, AnswerReason::kRowLimit,
+                                 AnswerReasonName);
+}
+
 Answer NotRun(AnswerReason reason, std::optional<Duration> retry_after) {
   Answer answer;
   answer.status = AnswerStatus::kNotRun;
