--- /dev/null
+++ b/libs/storage/include/gooseberryrock/storage/damaged_file_error.h
@@ -0,0 +1,28 @@
+// A file of the data folder holds something that was not written to it.
+
+#ifndef GOOSEBERRYROCK_STORAGE_DAMAGED_FILE_ERROR_H_
+#define GOOSEBERRYROCK_STORAGE_DAMAGED_FILE_ERROR_H_
+
+#include <cstdint>
+#include <string>
+
+#include "gooseberryrock/storage/storage_error.h"
+
+namespace gooseberryrock::storage {
+
+class DamagedFileError : public StorageError {
+ public:
+  DamagedFileError(std::string file, uint64_t offset, const std::string& what);
+
+  const std::string& file() const { return file_; }
+  // Where the damaged record begins.
+  uint64_t offset() const { return offset_; }
+
+ private:
+  std::string file_;
+  uint64_t offset_;
+};
+
+}  // namespace gooseberryrock::storage
+
+#endif  // GOOSEBERRYROCK_STORAGE_DAMAGED_FILE_ERROR_H_
