consensus: replicated log

Known acknowledgements are exchanged by storage id and with the term of the leader: an index alone may decrease when a later leader truncates the log. HardState also carries the commit index, written along with other changes, so that a VM that restarts applies its log without waiting for a leader.

Not tested yet.

--- a/libs/consensus/include/gooseberryrock/consensus/consensus.h
+++ b/libs/consensus/include/gooseberryrock/consensus/consensus.h
@@ -34,8 +34,9 @@
 // for election_timeout_max: it does not know when it last heard from a leader,
 // and a leader may still rely on its lease.
 //
-// The state machine of the runtime starts from `stored.snapshot`; entries
-// behind it come as Effects::committed once they are known to be committed.
+// The state machine of the runtime starts from `stored.snapshot`. The first
+// Tick(), to be called at once, hands out the entries behind it that the VM
+// knows to be committed.
 ConsensusState StartConsensus(const NodeId& self,
                               std::string storage_id,
                               StoredState stored,
--- a/libs/consensus/include/gooseberryrock/consensus/consensus_config.h
+++ b/libs/consensus/include/gooseberryrock/consensus/consensus_config.h
@@ -20,6 +20,9 @@
   // An append or chunk without a reply is sent again after this time. Must
   // exceed the round trip between the VMs.
   Duration resend_interval = std::chrono::milliseconds(300);
+  // Known acknowledgements are sent again after this time without a change, in
+  // case the message that carried them was lost.
+  Duration acknowledged_interval = std::chrono::seconds(1);
   // Bounds on one append, so that the frame stays below 4 MiB.
   size_t max_append_entries = 512;
   size_t max_append_bytes = size_t{1} << 20U;
--- a/libs/consensus/include/gooseberryrock/consensus/consensus_state.h
+++ b/libs/consensus/include/gooseberryrock/consensus/consensus_state.h
@@ -44,8 +44,16 @@
   // Set while a snapshot is being sent: the offset of the next chunk.
   std::optional<uint64_t> snapshot_offset;
   Position snapshot_last;
-  // The VM reported another storage id or a rolled back disk.
-  bool refused = false;
+  // Nothing was heard since the last resend: only empty appends are sent, so
+  // that a VM that is down costs little.
+  bool silent = false;
+  // When the known acknowledgements were last sent, and their version then.
+  SteadyTime acknowledged_sent_at;
+  uint64_t acknowledged_version = 0;
+  // The VM has another storage id than the membership. It is not counted.
+  bool wrong_storage = false;
+  // The VM's disk was rolled back. It is not counted.
+  bool rolled_back = false;
 };
 
 struct PendingProposal {
@@ -65,8 +73,7 @@
   ConsensusConfig config;
 
   HardState hard_state;
-  // The entries behind `snapshot_last` may reach back before the snapshot:
-  // entries.front() has the index log_start.index + 1.
+  // entries.front() follows log_start, which may lie before the snapshot.
   Position log_start;
   std::deque<LogEntry> entries;
   // The latest snapshot, sent to members that lack older entries.
@@ -83,7 +90,7 @@
   NodeId leader;
   // The follower starts an election then.
   SteadyTime election_deadline;
-  // Votes and pre-votes are refused before this time.
+  // After a start, votes are refused before this time.
   SteadyTime votes_refused_until;
   // Last time a message of the current leader arrived.
   std::optional<SteadyTime> leader_heard;
@@ -91,12 +98,12 @@
 
   // Candidates: who granted the vote of this election, with its storage id.
   std::map<NodeId, std::string> votes;
-  bool transfer_election = false;
 
   // Leaders.
   std::map<NodeId, Progress> progress;
   uint64_t next_round = 1;
   SteadyTime became_leader;
+  SteadyTime last_tick;
   // A transfer of leadership is under way: no proposals are accepted, and the
   // lease is given up for the rest of the term.
   bool transferring = false;
@@ -104,8 +111,10 @@
   SteadyTime transfer_deadline;
   std::map<uint64_t, PendingProposal> pending;
 
-  // What other VMs are known to have acknowledged.
-  std::map<NodeId, Acknowledgement> known_acknowledged;
+  // What the VMs, by storage id, are known to have acknowledged. The version
+  // rises with each change.
+  std::map<std::string, Acknowledgement> known_acknowledged;
+  uint64_t known_acknowledged_version = 1;
 };
 
 }  // namespace gooseberryrock::consensus
--- a/libs/consensus/include/gooseberryrock/consensus/hard_state.h
+++ b/libs/consensus/include/gooseberryrock/consensus/hard_state.h
@@ -25,6 +25,9 @@
   // Empty when no vote was given in `term`.
   NodeId voted_for;
   Acknowledgement acknowledged;
+  // Entries up to here are committed. Written along with other changes, so that
+  // it may lag; a VM that restarts applies them without waiting for a leader.
+  uint64_t commit_index = 0;
   // The VM learned that its disk was rolled back. It neither votes nor counts
   // until an operator replaces it.
   bool suspended = false;
--- a/libs/consensus/include/gooseberryrock/consensus/message.h
+++ b/libs/consensus/include/gooseberryrock/consensus/message.h
@@ -45,9 +45,10 @@
   // Numbers the requests of one leader, so that a reply confirms the lease from
   // the time when its request was sent.
   uint64_t round = 0;
-  // What each member has acknowledged to this leader, as far as it knows. Lets
-  // each VM recognise a member whose disk was rolled back, also itself.
-  std::map<NodeId, uint64_t> acknowledged;
+  // What each member, by storage id, is known to have acknowledged. Lets each
+  // VM recognise a member whose disk was rolled back, also itself. Sent when it
+  // changes and at times again, else empty.
+  std::map<std::string, Acknowledgement> acknowledged;
 
   auto operator<=>(const AppendRequest&) const = default;
 };
--- /dev/null
+++ b/libs/consensus/src/membership_change.cc
@@ -0,0 +1,104 @@
+// Changes of the membership, one VM at a time.
+
+#include <optional>
+#include <utility>
+
+#include "gooseberryrock/consensus/consensus.h"
+#include "log.h"
+#include "proposal.h"
+#include "replication.h"
+
+namespace gooseberryrock::consensus {
+
+namespace {
+
+bool IsCaughtUp(const ConsensusState& state, const NodeId& node) {
+  auto it = state.progress.find(node);
+  if (it == state.progress.end()) {
+    return false;
+  }
+  const Progress& progress = it->second;
+  return !progress.silent && !progress.wrong_storage && !progress.rolled_back &&
+         progress.confirmed && !progress.probing &&
+         progress.match + state.config.max_promotion_lag >= LastIndex(state);
+}
+
+// Changes `membership`, or returns why it cannot be changed.
+RejectReason Apply(const ConsensusState& state,
+                   const MembershipChange& change,
+                   Membership& membership) {
+  auto it = membership.members.find(change.node);
+  const bool is_member = it != membership.members.end();
+  switch (change.action) {
+    case MembershipAction::kAddLearner:
+      if (is_member) {
+        return RejectReason::kAlreadyMember;
+      }
+      membership.members[change.node] = {change.storage_id, change.peer_address,
+                                         /*voter=*/false};
+      return RejectReason::kNone;
+    case MembershipAction::kPromote:
+      if (!is_member) {
+        return RejectReason::kUnknownMember;
+      }
+      if (it->second.voter) {
+        return RejectReason::kAlreadyMember;
+      }
+      if (!IsCaughtUp(state, change.node)) {
+        return RejectReason::kNotCaughtUp;
+      }
+      it->second.voter = true;
+      return RejectReason::kNone;
+    case MembershipAction::kRemove:
+      if (!is_member) {
+        return RejectReason::kUnknownMember;
+      }
+      membership.members.erase(it);
+      for (const auto& [node, member] : membership.members) {
+        if (member.voter) {
+          return RejectReason::kNone;
+        }
+      }
+      return RejectReason::kLastVoter;
+  }
+  return RejectReason::kUnknownMember;
+}
+
+// Two quorums of consecutive memberships overlap only when the earlier change
+// is committed. The entry of the leader's own term rules out that an earlier
+// leader's change, unknown to this one, is committed later.
+bool IsChangePossible(const ConsensusState& state) {
+  return state.membership_index <= state.commit_index &&
+         TermAt(state, state.commit_index) == state.hard_state.term;
+}
+
+}  // namespace
+
+Effects ChangeMembership(ConsensusState& state,
+                         const MembershipChange& change,
+                         SteadyTime now) {
+  Effects effects;
+  RejectReason reason = CheckProposable(state);
+  if (reason == RejectReason::kNone && !IsChangePossible(state)) {
+    reason = RejectReason::kChangeInProgress;
+  }
+  LogEntry entry;
+  entry.kind = EntryKind::kMembership;
+  entry.membership = state.membership;
+  if (reason == RejectReason::kNone) {
+    reason = Apply(state, change, entry.membership);
+  }
+  if (reason != RejectReason::kNone) {
+    effects.outcomes.push_back(
+        {change.id, ProposalStatus::kNotRun, reason, {}});
+    return effects;
+  }
+  const Observed before = Observe(state);
+  AppendProposed(state, std::move(entry), change.id, effects);
+  UpdateProgress(state, now);
+  SendToAll(state, now, effects);
+  Finish(state, before, effects);
+  return effects;
+}
+
+}  // namespace gooseberryrock::consensus
