--- a/libs/node/src/replicated_log.cc
+++ b/libs/node/src/replicated_log.cc
@@ -11,6 +11,7 @@
 #include <variant>
 #include <vector>
 
+#include "consensus.pb.h"
 #include "gooseberryrock/proto/convert_consensus.h"
 #include "gooseberryrock/proto/malformed_message_error.h"
 #include "gooseberryrock/storage/identity.h"
@@ -89,6 +90,14 @@
          reason == consensus::RejectReason::kReplaced;
 }
 
+consensus::Message DecodeMessage(const std::string& body) {
+  proto::ConsensusMessage message;
+  if (!message.ParseFromString(body)) {
+    throw proto::MalformedMessageError("not a consensus message");
+  }
+  return proto::FromMessage(std::move(message));
+}
+
 void LogLeadership(const NodeId& self,
                    const consensus::LeadershipChange& change) {
   telemetry::LogEvent(telemetry::LogLevel::kInfo, "leadership_changed",
@@ -226,7 +235,7 @@
   void Handle(MessageEvent& event) {
     try {
       CarryOut(consensus::HandleMessage(
-          state, proto::DecodeConsensusMessage(event.body), Now(), random));
+          state, DecodeMessage(event.body), Now(), random));
     } catch (const proto::MalformedMessageError& e) {
       telemetry::LogEvent(telemetry::LogLevel::kWarning,
                           "consensus_message_refused", {{"error", e.what()}});
@@ -270,7 +279,7 @@
 
   void Send(const std::vector<consensus::Message>& messages) {
     for (const consensus::Message& message : messages) {
-      send(message.to, proto::EncodeConsensusMessage(message));
+      send(message.to, proto::ToMessage(message).SerializeAsString());
     }
   }
 
