--- a/libs/node/include/gooseberryrock/node/query_engine.h
+++ b/libs/node/include/gooseberryrock/node/query_engine.h
@@ -51,6 +51,7 @@
   void Send(size_t shard,
             const QueryShard::Work& work,
             const query::AttemptToSend& attempt);
+  void FindNewerSnapshot(size_t shard, const QueryShard::Work& work);
   void OnResult(http::BackendResult result);
   QueryShard& ShardOfAttempt(query::AttemptId attempt);
 
--- a/libs/node/include/gooseberryrock/node/query_shard.h
+++ b/libs/node/include/gooseberryrock/node/query_shard.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 #include "gooseberryrock/base/ids.h"
@@ -30,6 +31,7 @@
     QueryNumber number = 0;
     std::shared_ptr<const ServiceView> view;
     query::QueryRequest request;
+    query::Snapshot snapshot;
     query::QueryEffects effects;
   };
   // Called without the lock held, on the thread that brought the event.
@@ -48,6 +50,10 @@
   bool OnAttemptRouted(query::AttemptId attempt, const BackendServerId& server);
   void OnReply(query::SubqueryReply reply);
   void OnAttemptFailed(query::AttemptId attempt, query::AttemptFailure failure);
+  // Answers QueryEffects::find_newer_snapshot with a plan from `view`.
+  void OnNewerSnapshot(QueryNumber number,
+                       std::optional<query::QueryPlan> plan,
+                       std::shared_ptr<const ServiceView> view);
 
  private:
   struct Running {
--- a/libs/node/src/query_engine.cc
+++ b/libs/node/src/query_engine.cc
@@ -158,6 +158,9 @@
 
 void QueryEngine::CarryOut(size_t shard, const QueryShard::Work& work) {
   for (const query::AttemptToCancel& attempt : work.effects.cancel) {
+    if (attempt.server.empty()) {
+      continue;
+    }
     proto::CancelRequest message;
     message.set_attempt_id(attempt.id);
     servers_.OnAttemptEnded(attempt.server, /*failed=*/false, std::nullopt);
@@ -167,6 +170,23 @@
   for (const query::AttemptToSend& attempt : work.effects.send) {
     Send(shard, work, attempt);
   }
+  if (work.effects.find_newer_snapshot) {
+    FindNewerSnapshot(shard, work);
+  }
+}
+
+void QueryEngine::FindNewerSnapshot(size_t shard,
+                                    const QueryShard::Work& work) {
+  auto view = views_.Find(work.request.service);
+  std::optional<query::QueryPlan> plan;
+  if (view == nullptr) {
+    view = work.view;
+  } else {
+    plan = query::PlanQuery(view->definition, view->routing, work.request,
+                            work.snapshot);
+  }
+  shards_[shard]->OnNewerSnapshot(work.number, std::move(plan),
+                                  std::move(view));
 }
 
 void QueryEngine::Send(size_t shard,
--- a/libs/node/src/query_shard.cc
+++ b/libs/node/src/query_shard.cc
@@ -61,7 +61,17 @@
 void QueryShard::OnReply(query::SubqueryReply reply) {
   const query::AttemptId attempt = reply.attempt;
   ApplyToAttempt(attempt, [&](Running& running) {
-    return query::OnReply(running.state, std::move(reply), Now());
+    return query::OnReply(running.state, std::move(reply), ids_,
+                          budgets_[running.state.request.service], Now());
+  });
+}
+
+void QueryShard::OnNewerSnapshot(QueryNumber number,
+                                 std::optional<query::QueryPlan> plan,
+                                 std::shared_ptr<const ServiceView> view) {
+  Apply(number, [&](Running& running) {
+    running.view = std::move(view);
+    return query::OnNewerSnapshot(running.state, std::move(plan), ids_, Now());
   });
 }
 
@@ -114,7 +124,8 @@
     timers_.emplace(*effects.next_timer, number);
     timers_changed_.notify_one();
   }
-  Work work{number, running.view, running.state.request, std::move(effects)};
+  Work work{number, running.view, running.state.request,
+            running.state.plan.snapshot, std::move(effects)};
   if (work.effects.answer) {
     running.answer = std::move(work.effects.answer);
     work.effects.answer.reset();
--- a/libs/query/include/gooseberryrock/query/query_effects.h
+++ b/libs/query/include/gooseberryrock/query/query_effects.h
@@ -23,7 +23,8 @@
   SteadyTime deadline;
 };
 
-// A routed attempt whose answer no one waits for.
+// An attempt whose answer no one waits for. `server` is empty when the attempt
+// was not routed, so that there is nothing to cancel at a server.
 struct AttemptToCancel {
   AttemptId id = 0;
   BackendServerId server;
@@ -32,6 +33,9 @@
 struct QueryEffects {
   std::vector<AttemptToSend> send;
   std::vector<AttemptToCancel> cancel;
+  // Plan the query again with the newest routing table and a snapshot newer
+  // than that of the present plan, and pass the result to OnNewerSnapshot().
+  bool find_newer_snapshot = false;
   // When to call OnTimer() next.
   std::optional<SteadyTime> next_timer;
   // Set once, when the query has finished.
--- a/libs/query/include/gooseberryrock/query/query_machine.h
+++ b/libs/query/include/gooseberryrock/query/query_machine.h
@@ -4,6 +4,8 @@
 #ifndef GOOSEBERRYROCK_QUERY_QUERY_MACHINE_H_
 #define GOOSEBERRYROCK_QUERY_QUERY_MACHINE_H_
 
+#include <optional>
+
 #include "gooseberryrock/base/ids.h"
 #include "gooseberryrock/base/time.h"
 #include "gooseberryrock/query/query_effects.h"
@@ -32,7 +34,13 @@
                      AttemptId attempt,
                      const BackendServerId& server);
 
-QueryEffects OnReply(QueryState& state, SubqueryReply reply, SteadyTime now);
+// A reply with another shard or snapshot or without its end marker is never
+// merged; it is a failed attempt that may have run.
+QueryEffects OnReply(QueryState& state,
+                     SubqueryReply reply,
+                     AttemptIdSource& ids,
+                     AttemptBudget& budget,
+                     SteadyTime now);
 
 QueryEffects OnAttemptFailed(QueryState& state,
                              AttemptId attempt,
@@ -41,6 +49,14 @@
                              AttemptBudget& budget,
                              SteadyTime now);
 
+// Answers QueryEffects::find_newer_snapshot. Starts all shards again when
+// `plan` covers a larger share of its shards than the present one can still
+// answer; no row of the earlier snapshot is kept then.
+QueryEffects OnNewerSnapshot(QueryState& state,
+                             std::optional<QueryPlan> plan,
+                             AttemptIdSource& ids,
+                             SteadyTime now);
+
 QueryEffects OnTimer(QueryState& state,
                      AttemptIdSource& ids,
                      AttemptBudget& budget,
--- a/libs/query/include/gooseberryrock/query/query_plan.h
+++ b/libs/query/include/gooseberryrock/query/query_plan.h
@@ -3,6 +3,7 @@
 #ifndef GOOSEBERRYROCK_QUERY_QUERY_PLAN_H_
 #define GOOSEBERRYROCK_QUERY_QUERY_PLAN_H_
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <vector>
@@ -35,6 +36,8 @@
   Snapshot snapshot;
   // Shards that the request addresses, in the order of the layout.
   std::vector<ShardId> shards;
+  // Number of `shards` that have a replica with the snapshot.
+  size_t covered = 0;
 };
 
 // Collects the ready servers that the rules of `service` allow.
--- a/libs/query/include/gooseberryrock/query/query_policy.h
+++ b/libs/query/include/gooseberryrock/query/query_policy.h
@@ -20,6 +20,10 @@
   // come; at the deadline when empty.
   std::optional<Duration> settle_after;
   uint32_t max_attempts_per_shard = 3;
+  // Times that the query may start again at a newer snapshot. Each costs one
+  // attempt for each shard, and index versions change seconds apart, so that a
+  // query that needs more is better answered in part.
+  uint32_t max_restarts = 2;
 };
 
 }  // namespace gooseberryrock::query
--- a/libs/query/include/gooseberryrock/query/query_state.h
+++ b/libs/query/include/gooseberryrock/query/query_state.h
@@ -34,6 +34,8 @@
   bool given_up = false;
   // An attempt on this shard may have run without a reply.
   bool may_have_run = false;
+  // A server of the shard no longer has the pinned snapshot.
+  bool snapshot_lost = false;
   // The server of the reply says that rows are missing.
   bool rows_missing = false;
   AttemptFailure last_failure = AttemptFailure::kNotSent;
@@ -49,6 +51,8 @@
   QueryPolicy policy;
   QueryPlan plan;
   SteadyTime started;
+  // When the attempts at the present snapshot started.
+  SteadyTime round_started;
   // One element for each shard of the plan, in the same order.
   std::vector<ShardState> shards;
   // Open attempts only: a reply to any other attempt is dropped.
@@ -57,6 +61,11 @@
   size_t shards_open = 0;
   bool hedged = false;
   bool finished = false;
+  // The runtime was asked for a newer snapshot and has not answered yet.
+  bool finding_snapshot = false;
+  // An attempt at an earlier snapshot of the query may have run.
+  bool ran_before_restart = false;
+  uint32_t restarts = 0;
   // Replies dropped: late, duplicate, foreign, or of another snapshot.
   uint64_t dropped_replies = 0;
 };
--- a/libs/query/src/query_machine.cc
+++ b/libs/query/src/query_machine.cc
@@ -3,10 +3,10 @@
 #include "gooseberryrock/query/query_machine.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 #include "gooseberryrock/query/attempt_budget.h"
+#include "gooseberryrock/query/build_answer.h"
 
 namespace gooseberryrock::query {
 
@@ -43,134 +43,39 @@
   return !shard.answered && !shard.given_up;
 }
 
-AnswerReason ReasonFor(AttemptFailure failure) {
-  switch (failure) {
-    case AttemptFailure::kNotSent:
-      return AnswerReason::kNoBackendServer;
-    case AttemptFailure::kRefused:
-    case AttemptFailure::kNoSnapshot:
-      return AnswerReason::kRefusedByBackendServers;
-    case AttemptFailure::kServerError:
-      return AnswerReason::kBackendServerError;
-    case AttemptFailure::kConnectionLost:
-      return AnswerReason::kConnectionLost;
-  }
-  return AnswerReason::kNone;
-}
-
-// Takes up to `row_limit` rows of the shards' replies, in the order of shards.
-// Returns whether rows were left out.
-bool MergeRows(QueryState& state, Answer& answer) {
-  const size_t limit = state.request.row_limit;
-  bool left_out = false;
-  for (ShardState& shard : state.shards) {
-    const size_t room = limit - answer.rows.size();
-    const size_t n = std::min(room, shard.rows.size());
-    std::move(shard.rows.begin(),
-              shard.rows.begin() + static_cast<std::ptrdiff_t>(n),
-              std::back_inserter(answer.rows));
-    if (n < shard.rows.size()) {
-      answer.missing_shards.push_back(shard.shard);
-      left_out = true;
-    }
-  }
-  return left_out;
-}
-
-// Whether an attempt without a reply may have run or may still run.
-bool MayHaveRunSomewhere(const QueryState& state) {
-  const bool routed_open =
-      std::any_of(state.attempts.begin(), state.attempts.end(),
-                  [](const auto& it) { return !it.second.server.empty(); });
-  return routed_open ||
-         std::any_of(state.shards.begin(), state.shards.end(),
-                     [](const ShardState& s) { return s.may_have_run; });
-}
-
-bool AnyShardAnswered(const QueryState& state) {
-  return std::any_of(state.shards.begin(), state.shards.end(),
-                     [](const ShardState& s) { return s.answered; });
-}
-
-AttemptFailure WorstFailure(const QueryState& state) {
-  AttemptFailure worst = AttemptFailure::kNotSent;
-  for (const ShardState& shard : state.shards) {
-    if (!shard.answered) {
-      worst = std::max(worst, shard.last_failure);
-    }
-  }
-  return worst;
-}
-
-Answer AnswerWithoutRows(const QueryState& state, bool deadline_passed) {
-  const AttemptFailure worst = WorstFailure(state);
-  const AnswerReason reason =
-      deadline_passed ? AnswerReason::kDeadlinePassed : ReasonFor(worst);
-  Answer answer;
-  answer.reason = reason;
-  if (!MayHaveRunSomewhere(state)) {
-    answer.status = AnswerStatus::kNotRun;
-  } else if (worst == AttemptFailure::kServerError && !deadline_passed) {
-    answer.status = AnswerStatus::kFailed;
-  } else {
-    answer.status = AnswerStatus::kOutcomeUnknown;
-  }
-  return answer;
-}
-
-Answer BuildAnswer(QueryState& state, bool deadline_passed) {
-  Answer answer;
-  if (AnyShardAnswered(state)) {
-    for (const ShardState& shard : state.shards) {
-      if (!shard.answered || shard.rows_missing) {
-        answer.missing_shards.push_back(shard.shard);
-      }
-    }
-    if (!answer.missing_shards.empty()) {
-      answer.reason = deadline_passed ? AnswerReason::kDeadlinePassed
-                                      : ReasonFor(WorstFailure(state));
-    }
-    if (MergeRows(state, answer)) {
-      answer.reason = AnswerReason::kRowLimit;
-    }
-    answer.status = answer.missing_shards.empty() ? AnswerStatus::kComplete
-                                                  : AnswerStatus::kPartial;
-  } else {
-    answer = AnswerWithoutRows(state, deadline_passed);
-    for (const ShardState& shard : state.shards) {
-      answer.missing_shards.push_back(shard.shard);
-    }
-  }
-  answer.snapshot = state.plan.snapshot;
-  answer.shards_total = state.shards.size();
-  return answer;
-}
-
-// An attempt without a server was not sent, so that there is nothing to cancel.
-void Cancel(AttemptId id, const AttemptState& attempt, QueryEffects& effects) {
-  if (!attempt.server.empty()) {
+void CancelAllAttempts(QueryState& state, QueryEffects& effects) {
+  for (const auto& [id, attempt] : state.attempts) {
     effects.cancel.push_back({id, attempt.server});
   }
+  state.attempts.clear();
 }
 
 void Finish(QueryState& state, QueryEffects& effects, bool deadline_passed) {
   effects.answer = BuildAnswer(state, deadline_passed);
-  for (const auto& [id, attempt] : state.attempts) {
-    Cancel(id, attempt, effects);
-  }
+  CancelAllAttempts(state, effects);
   effects.send.clear();
+  effects.find_newer_snapshot = false;
   effects.next_timer.reset();
-  state.attempts.clear();
   state.finished = true;
 }
 
+// A shard whose servers no longer have the pinned snapshot can be answered from
+// a newer one only, and then all shards have to be. A non-idempotent request
+// starts again only when no attempt can have run.
+bool MayStartAgain(const QueryState& state, const ShardState& shard) {
+  return shard.snapshot_lost && !state.finding_snapshot &&
+         state.restarts < state.policy.max_restarts &&
+         (state.request.idempotent || !MayHaveRunSomewhere(state));
+}
+
 bool MayRetry(const QueryState& state,
               const ShardState& shard,
               AttemptFailure failure) {
   if (shard.attempts_made >= state.policy.max_attempts_per_shard) {
     return false;
   }
-  return state.request.idempotent || !MayHaveRun(failure);
+  return state.request.idempotent ||
+         (!shard.may_have_run && !MayHaveRun(failure));
 }
 
 void CancelAttemptsOn(QueryState& state,
@@ -178,7 +83,7 @@
                       QueryEffects& effects) {
   for (auto it = state.attempts.begin(); it != state.attempts.end();) {
     if (it->second.shard == shard_index) {
-      Cancel(it->first, it->second, effects);
+      effects.cancel.push_back({it->first, it->second.server});
       it = state.attempts.erase(it);
     } else {
       ++it;
@@ -208,11 +113,39 @@
 SteadyTime NextTimer(const QueryState& state) {
   SteadyTime next = AnswerTime(state);
   if (state.policy.hedge_delay && !state.hedged) {
-    next = std::min(next, state.started + *state.policy.hedge_delay);
+    next = std::min(next, state.round_started + *state.policy.hedge_delay);
   }
   return next;
 }
 
+// Opens one attempt for each shard of the plan.
+void StartRound(QueryState& state,
+                AttemptIdSource& ids,
+                QueryEffects& effects,
+                SteadyTime now) {
+  state.round_started = now;
+  state.hedged = false;
+  state.shards.clear();
+  for (const ShardId& shard_id : state.plan.shards) {
+    ShardState shard;
+    shard.shard = shard_id;
+    state.shards.push_back(std::move(shard));
+  }
+  state.shards_open = state.shards.size();
+  for (size_t i = 0; i < state.shards.size(); ++i) {
+    effects.send.push_back(OpenAttempt(state, i, ids));
+  }
+  effects.next_timer = NextTimer(state);
+}
+
+void FinishWhenSettled(QueryState& state,
+                       QueryEffects& effects,
+                       SteadyTime now) {
+  if (state.shards_open == 0 && !state.finding_snapshot) {
+    Finish(state, effects, /*deadline_passed=*/now >= AnswerTime(state));
+  }
+}
+
 }  // namespace
 
 QueryEffects StartQuery(QueryState& state,
@@ -221,21 +154,12 @@
                         SteadyTime now) {
   QueryEffects effects;
   state.started = now;
-  for (const ShardId& shard_id : state.plan.shards) {
-    ShardState shard;
-    shard.shard = shard_id;
-    state.shards.push_back(std::move(shard));
-  }
-  state.shards_open = state.shards.size();
+  StartRound(state, ids, effects, now);
   if (now >= AnswerTime(state)) {
     Finish(state, effects, /*deadline_passed=*/true);
     return effects;
   }
-  for (size_t i = 0; i < state.shards.size(); ++i) {
-    effects.send.push_back(OpenAttempt(state, i, ids));
-  }
   EarnBudget(budget, static_cast<double>(state.shards.size()));
-  effects.next_timer = NextTimer(state);
   return effects;
 }
 
@@ -253,7 +177,9 @@
 
 QueryEffects OnReply(QueryState& state,
                      SubqueryReply reply,
-                     SteadyTime /*now*/) {
+                     AttemptIdSource& ids,
+                     AttemptBudget& budget,
+                     SteadyTime now) {
   QueryEffects effects;
   auto it = state.attempts.find(reply.attempt);
   if (it == state.attempts.end()) {
@@ -265,7 +191,8 @@
   if (reply.shard != shard.shard || reply.snapshot != state.plan.snapshot ||
       !reply.end_marker) {
     ++state.dropped_replies;
-    return effects;
+    return OnAttemptFailed(state, reply.attempt,
+                           AttemptFailure::kConnectionLost, ids, budget, now);
   }
   state.attempts.erase(it);
   CloseShard(state, shard);
@@ -273,9 +200,7 @@
   shard.rows = std::move(reply.rows);
   shard.rows_missing = !reply.all_rows;
   CancelAttemptsOn(state, shard_index, effects);
-  if (state.shards_open == 0) {
-    Finish(state, effects, /*deadline_passed=*/false);
-  }
+  FinishWhenSettled(state, effects, now);
   return effects;
 }
 
@@ -295,8 +220,13 @@
   state.attempts.erase(it);
   ShardState& shard = state.shards[shard_index];
   --shard.attempts_open;
-  shard.last_failure = failure;
+  // A retry that found no further server does not hide why the first failed.
+  if (routed || shard.attempts_made == 1) {
+    shard.last_failure = failure;
+  }
   shard.may_have_run = shard.may_have_run || MayHaveRun(failure);
+  shard.snapshot_lost =
+      shard.snapshot_lost || failure == AttemptFailure::kNoSnapshot;
   const bool in_time = now < AnswerTime(state);
   if (routed && in_time && MayRetry(state, shard, failure) &&
       SpendBudget(budget)) {
@@ -306,10 +236,40 @@
   if (shard.attempts_open == 0) {
     CloseShard(state, shard);
     shard.given_up = true;
+    if (in_time && MayStartAgain(state, shard)) {
+      state.finding_snapshot = true;
+      effects.find_newer_snapshot = true;
+    }
   }
-  if (state.shards_open == 0) {
-    Finish(state, effects, /*deadline_passed=*/!in_time);
+  FinishWhenSettled(state, effects, now);
+  return effects;
+}
+
+QueryEffects OnNewerSnapshot(QueryState& state,
+                             std::optional<QueryPlan> plan,
+                             AttemptIdSource& ids,
+                             SteadyTime now) {
+  QueryEffects effects;
+  if (state.finished || !state.finding_snapshot) {
+    return effects;
+  }
+  state.finding_snapshot = false;
+  const auto given_up =
+      std::count_if(state.shards.begin(), state.shards.end(),
+                    [](const ShardState& s) { return s.given_up; });
+  const size_t reachable = state.shards.size() - static_cast<size_t>(given_up);
+  // Compares shares without a division: the two layouts may differ in size.
+  if (!plan || now >= AnswerTime(state) ||
+      plan->covered * state.shards.size() <= reachable * plan->shards.size()) {
+    FinishWhenSettled(state, effects, now);
+    return effects;
   }
+  state.ran_before_restart =
+      AnyShardAnswered(state) || MayHaveRunSomewhere(state);
+  CancelAllAttempts(state, effects);
+  ++state.restarts;
+  state.plan = std::move(*plan);
+  StartRound(state, ids, effects, now);
   return effects;
 }
 
@@ -326,7 +286,7 @@
     return effects;
   }
   if (state.policy.hedge_delay && !state.hedged &&
-      now >= state.started + *state.policy.hedge_delay) {
+      now >= state.round_started + *state.policy.hedge_delay) {
     HedgeOpenShards(state, ids, budget, effects);
   }
   effects.next_timer = NextTimer(state);
--- a/libs/query/src/query_plan.cc
+++ b/libs/query/src/query_plan.cc
@@ -65,11 +65,11 @@
       continue;
     }
     auto shards = AddressedShards(*layout, request);
+    const size_t covered = CountCovered(shards, replicas);
     const double coverage =
-        static_cast<double>(CountCovered(shards, replicas)) /
-        static_cast<double>(shards.size());
+        static_cast<double>(covered) / static_cast<double>(shards.size());
     if (coverage > best_coverage) {
-      best = QueryPlan{snapshot, std::move(shards)};
+      best = QueryPlan{snapshot, std::move(shards), covered};
       best_coverage = coverage;
     }
     if (coverage >= 1) {
@@ -78,7 +78,7 @@
   }
   if (!best && !newer_than && !service.layouts.empty()) {
     const auto& layout = service.layouts.back();
-    best = QueryPlan{{layout.version, 0}, AddressedShards(layout, request)};
+    best = QueryPlan{{layout.version, 0}, AddressedShards(layout, request), 0};
   }
   return best;
 }
