settings: check the settings file as a whole

Ruled out: a JSON schema validator (Debian has one for nlohmann-json, but it knows nothing of addresses, files or relations between fields).

--- a/apps/node/main.cc
+++ b/apps/node/main.cc
@@ -9,15 +9,19 @@
 
 #include "gooseberryrock/base/error.h"
 #include "gooseberryrock/node/node.h"
-#include "gooseberryrock/settings/load_settings.h"
-#include "gooseberryrock/settings/settings.h"
+#include "gooseberryrock/settings/check_settings.h"
 #include "gooseberryrock/telemetry/log_event.h"
 
 namespace {
 
+using gooseberryrock::settings::Settings;
 using gooseberryrock::telemetry::LogEvent;
 using gooseberryrock::telemetry::LogLevel;
 
+// Stable exit codes; see docs/commands/gbrnode.md.
+constexpr int kExitFailure = 1;
+constexpr int kExitInvalidSettings = 2;
+
 // Blocks the signals that stop the node in all threads started from now on.
 sigset_t BlockStopSignals() {
   sigset_t signals;
@@ -28,12 +32,13 @@
   return signals;
 }
 
-int Run(const std::string& settings_path) {
-  const auto settings = gooseberryrock::settings::LoadSettings(settings_path);
-  gooseberryrock::telemetry::InitializeLog(LogLevel::kInfo);
+int Run(const Settings& settings) {
   const sigset_t signals = BlockStopSignals();
   gooseberryrock::node::Node node(settings);
-  LogEvent(LogLevel::kInfo, "node_started", {{"node", settings.node.value}});
+  LogEvent(LogLevel::kInfo, "node_started",
+           {{"node", settings.node.value},
+            {"version", GOOSEBERRYROCK_VERSION},
+            {"failure_domain", settings.failure_domain.value}});
   int signal = 0;
   sigwait(&signals, &signal);
   LogEvent(LogLevel::kInfo, "node_draining", {{"node", settings.node.value}});
@@ -42,17 +47,56 @@
   return EXIT_SUCCESS;
 }
 
+int CheckAndRun(const std::string& path, bool check_only) {
+  const auto report = gooseberryrock::settings::CheckSettings(path);
+  for (const std::string& problem : report.problems) {
+    std::cerr << "error: " << problem << "\n";
+  }
+  if (check_only || !report.problems.empty()) {
+    for (const std::string& warning : report.warnings) {
+      std::cerr << "warning: " << warning << "\n";
+    }
+  }
+  if (!report.problems.empty()) {
+    return kExitInvalidSettings;
+  }
+  if (check_only) {
+    std::cout << "settings are valid\n";
+    return EXIT_SUCCESS;
+  }
+  gooseberryrock::telemetry::InitializeLog(
+      gooseberryrock::telemetry::ParseLogLevel(report.settings.log_level)
+          .value_or(LogLevel::kInfo));
+  for (const std::string& warning : report.warnings) {
+    LogEvent(LogLevel::kWarning, "settings_warning", {{"message", warning}});
+  }
+  return Run(report.settings);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   CLI::App app("A node of the gooseberryrock query tier");
   std::string settings_path;
-  app.add_option("--settings", settings_path, "Settings file")->required();
+  bool check_only = false;
+  app.set_version_flag("--version", "gbrnode " GOOSEBERRYROCK_VERSION);
+  app.add_option("--settings", settings_path,
+                 "Settings file: JSON with comments")
+      ->required()
+      ->type_name("FILE");
+  app.add_flag("--check", check_only,
+               "Print all problems of the settings and stop; "
+               "exit code 0 (valid) or 2");
+  app.footer(
+      "Examples:\n"
+      "  gbrnode --settings /etc/gooseberryrock/node.json --check\n"
+      "  gbrnode --settings /etc/gooseberryrock/node.json\n"
+      "SIGTERM stops the node after the queries in flight.");
   CLI11_PARSE(app, argc, argv);
   try {
-    return Run(settings_path);
+    return CheckAndRun(settings_path, check_only);
   } catch (const gooseberryrock::Error& e) {
     std::cerr << "gbrnode: " << e.what() << "\n";
-    return EXIT_FAILURE;
+    return kExitFailure;
   }
 }
--- a/libs/telemetry/include/gooseberryrock/telemetry/log_event.h
+++ b/libs/telemetry/include/gooseberryrock/telemetry/log_event.h
@@ -4,6 +4,7 @@
 #define GOOSEBERRYROCK_TELEMETRY_LOG_EVENT_H_
 
 #include <initializer_list>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -12,6 +13,9 @@
 
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
 
+// The level named "debug", "info", "warning" or "error", or nothing.
+std::optional<LogLevel> ParseLogLevel(std::string_view name);
+
 using LogField = std::pair<std::string_view, std::string>;
 
 // Sends the log to standard error. Call once, before the first event.
--- a/libs/telemetry/src/log_event.cc
+++ b/libs/telemetry/src/log_event.cc
@@ -51,6 +51,20 @@
 
 }  // namespace
 
+std::optional<LogLevel> ParseLogLevel(std::string_view name) {
+  constexpr std::pair<std::string_view, LogLevel> kNames[] = {
+      {"debug", LogLevel::kDebug},
+      {"info", LogLevel::kInfo},
+      {"warning", LogLevel::kWarning},
+      {"error", LogLevel::kError}};
+  for (const auto& [level_name, level] : kNames) {
+    if (level_name == name) {
+      return level;
+    }
+  }
+  return std::nullopt;
+}
+
 void InitializeLog(LogLevel least) {
   static const log4cplus::Initializer initializer;
   log4cplus::SharedAppenderPtr appender(
