--- a/libs/node/include/gooseberryrock/node/operator_api.h
+++ b/libs/node/include/gooseberryrock/node/operator_api.h
@@ -3,12 +3,15 @@
 #ifndef GOOSEBERRYROCK_NODE_OPERATOR_API_H_
 #define GOOSEBERRYROCK_NODE_OPERATOR_API_H_
 
-#include <mutex>
+#include <functional>
 #include <string>
 #include <string_view>
 
-#include "gooseberryrock/catalog/catalog.h"
+#include "gooseberryrock/base/ids.h"
+#include "gooseberryrock/base/time.h"
 #include "gooseberryrock/http/http_reply.h"
+#include "operator.pb.h"
+#include "peer.pb.h"
 
 namespace gooseberryrock::http {
 struct HttpRequest;
@@ -16,25 +19,43 @@
 
 namespace gooseberryrock::node {
 
+class ClusterView;
+class ControlClient;
 class DirectoryKeeper;
+class ReplicatedLog;
 
 inline constexpr std::string_view kOperatorPathPrefix = "/v1/operator/";
 
+struct OperatorApiParts {
+  NodeId self;
+  FailureDomain failure_domain;
+  std::string token;
+  ControlClient* control = nullptr;
+  DirectoryKeeper* keeper = nullptr;
+  ClusterView* cluster = nullptr;
+  // Null on a node that is no control VM.
+  ReplicatedLog* log = nullptr;
+};
+
 class OperatorApi {
  public:
-  OperatorApi(std::string token, DirectoryKeeper& keeper);
+  explicit OperatorApi(OperatorApiParts parts);
 
   http::HttpReply Handle(const http::HttpRequest& request);
 
  private:
-  http::HttpReply SubmitCommand(const std::string& body);
-  http::HttpReply GetCatalog();
-
-  const std::string token_;
-  DirectoryKeeper& keeper_;
-  std::mutex mutex_;
-  // Guarded by `mutex_`.
-  catalog::Catalog catalog_;
+  http::HttpReply HandleCall(const std::string& call, const std::string& body);
+  proto::CommandReply SubmitCommand(const proto::CommandRequest& request);
+  proto::GetCatalogReply GetCatalog(const proto::GetCatalogRequest& request);
+  proto::WaitInForceReply WaitInForce(const proto::WaitInForceRequest& request);
+  proto::GetStatusReply GetStatus(const proto::GetStatusRequest& request);
+  proto::ChangeMembershipReply ChangeMembership(
+      const proto::ChangeMembershipRequest& request);
+  void AddNodes(proto::GetStatusReply& reply) const;
+  void AddBackendServers(proto::GetStatusReply& reply) const;
+  void AddControl(proto::GetStatusReply& reply) const;
+
+  const OperatorApiParts parts_;
 };
 
 }  // namespace gooseberryrock::node
--- a/libs/node/src/operator_api.cc
+++ b/libs/node/src/operator_api.cc
@@ -2,59 +2,242 @@
 
 #include "gooseberryrock/node/operator_api.h"
 
+#include <algorithm>
+#include <chrono>
 #include <utility>
 
-#include "gooseberryrock/catalog/apply_command.h"
+#include "gooseberryrock/directory/server_record.h"
 #include "gooseberryrock/http/http_request.h"
 #include "gooseberryrock/node/caller_api.h"
+#include "gooseberryrock/node/cluster_view.h"
+#include "gooseberryrock/node/control_client.h"
 #include "gooseberryrock/node/directory_keeper.h"
+#include "gooseberryrock/node/replicated_log.h"
 #include "gooseberryrock/proto/convert_catalog.h"
 #include "gooseberryrock/proto/json_codec.h"
 #include "gooseberryrock/proto/malformed_message_error.h"
-#include "operator.pb.h"
 
 namespace gooseberryrock::node {
 
-OperatorApi::OperatorApi(std::string token, DirectoryKeeper& keeper)
-    : token_(std::move(token)), keeper_(keeper) {}
+namespace {
+
+// Longer than an election, so that a command survives the loss of a leader.
+constexpr Duration kCommandTimeout = std::chrono::seconds(4);
+constexpr Duration kReadTimeout = std::chrono::seconds(2);
+constexpr uint32_t kMaxWaitMs = 60000;
+
+SteadyTime Now() {
+  return std::chrono::steady_clock::now();
+}
+
+uint64_t Milliseconds(Duration time) {
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
+template <typename Request, typename Handler>
+http::HttpReply Serve(const std::string& body, const Handler& handler) {
+  Request request;
+  proto::FromJson(body.empty() ? "{}" : body, request);
+  return {200, "application/json", proto::ToJson(handler(request))};
+}
+
+// Compares in a time that does not depend on where the texts differ.
+bool IsEqualSecret(std::string_view a, std::string_view b) {
+  unsigned difference = a.size() == b.size() ? 0 : 1;
+  for (size_t i = 0; i < std::min(a.size(), b.size()); ++i) {
+    difference |= static_cast<unsigned char>(a[i]) ^
+                  static_cast<unsigned char>(b[i]);
+  }
+  return difference == 0;
+}
+
+}  // namespace
+
+OperatorApi::OperatorApi(OperatorApiParts parts) : parts_(std::move(parts)) {}
 
 http::HttpReply OperatorApi::Handle(const http::HttpRequest& request) {
   auto it = request.headers.find("authorization");
-  if (it == request.headers.end() || it->second != "Bearer " + token_) {
+  if (it == request.headers.end() ||
+      !IsEqualSecret(it->second, "Bearer " + parts_.token)) {
     return ErrorReply(401, "unauthorized", "the operator token is wrong");
   }
-  const std::string call = request.path.substr(kOperatorPathPrefix.size());
+  if (request.method != "POST") {
+    return ErrorReply(405, "method_not_allowed",
+                      "operator calls are sent by POST");
+  }
+  if (request.body_too_large) {
+    return ErrorReply(413, "body_too_large",
+                      "the body is larger than 65536 bytes");
+  }
   try {
-    if (call == "SubmitCommand") {
-      return SubmitCommand(request.body);
-    }
-    if (call == "GetCatalog") {
-      return GetCatalog();
-    }
+    return HandleCall(request.path.substr(kOperatorPathPrefix.size()),
+                      request.body);
   } catch (const proto::MalformedMessageError& e) {
     return ErrorReply(400, "malformed_message", e.what());
   }
+}
+
+http::HttpReply OperatorApi::HandleCall(const std::string& call,
+                                        const std::string& body) {
+  if (call == "SubmitCommand") {
+    return Serve<proto::CommandRequest>(
+        body, [this](const auto& it) { return SubmitCommand(it); });
+  }
+  if (call == "GetCatalog") {
+    return Serve<proto::GetCatalogRequest>(
+        body, [this](const auto& it) { return GetCatalog(it); });
+  }
+  if (call == "WaitInForce") {
+    return Serve<proto::WaitInForceRequest>(
+        body, [this](const auto& it) { return WaitInForce(it); });
+  }
+  if (call == "GetStatus") {
+    return Serve<proto::GetStatusRequest>(
+        body, [this](const auto& it) { return GetStatus(it); });
+  }
+  if (call == "ChangeMembership") {
+    return Serve<proto::ChangeMembershipRequest>(
+        body, [this](const auto& it) { return ChangeMembership(it); });
+  }
   return ErrorReply(404, "unknown_call", "there is no operator call " + call);
 }
 
-http::HttpReply OperatorApi::SubmitCommand(const std::string& body) {
-  proto::CommandRequest message;
-  proto::FromJson(body, message);
-  const catalog::Command command = proto::FromMessage(message);
-  std::lock_guard lock(mutex_);
-  const auto outcome = catalog::ApplyCommand(catalog_, command);
-  keeper_.PutCatalogInForce(catalog_);
-  return {200, "application/json", proto::ToJson(proto::ToMessage(outcome))};
+proto::CommandReply OperatorApi::SubmitCommand(
+    const proto::CommandRequest& request) {
+  // Refuses a malformed command before it gets into the log.
+  proto::FromMessage(request);
+  proto::ForwardRequest call;
+  *call.mutable_command() = request;
+  CallResult result = parts_.control->Call(std::move(call), kCommandTimeout);
+  if (result.status == CallStatus::kDone) {
+    return result.reply.command();
+  }
+  proto::CommandReply reply;
+  reply.set_status(result.status == CallStatus::kNotRun
+                       ? proto::NOT_RUN
+                       : proto::OUTCOME_UNKNOWN);
+  reply.set_version(parts_.keeper->CatalogVersion());
+  return reply;
 }
 
-http::HttpReply OperatorApi::GetCatalog() {
+proto::GetCatalogReply OperatorApi::GetCatalog(
+    const proto::GetCatalogRequest& request) {
+  if (request.current()) {
+    proto::ForwardRequest call;
+    *call.mutable_read() = request;
+    CallResult result = parts_.control->Call(std::move(call), kReadTimeout);
+    if (result.status == CallStatus::kDone) {
+      return result.reply.catalog();
+    }
+  }
   proto::GetCatalogReply reply;
-  {
-    std::lock_guard lock(mutex_);
-    *reply.mutable_catalog() = proto::ToMessage(catalog_);
+  *reply.mutable_catalog() = proto::ToMessage(parts_.keeper->CatalogInForce());
+  reply.set_current(false);
+  reply.set_age_ms(Milliseconds(Now() - parts_.keeper->CatalogConfirmedAt()));
+  return reply;
+}
+
+proto::WaitInForceReply OperatorApi::WaitInForce(
+    const proto::WaitInForceRequest& request) {
+  const auto timeout =
+      std::chrono::milliseconds(std::min(request.timeout_ms(), kMaxWaitMs));
+  const SteadyTime until = Now() + timeout;
+  proto::WaitInForceReply reply;
+  if (!parts_.keeper->WaitForVersion(request.version(), until)) {
+    reply.add_lagging_nodes(parts_.self.value);
+  }
+  for (const NodeId& node :
+       parts_.cluster->WaitForVersion(request.version(), until)) {
+    reply.add_lagging_nodes(node.value);
+  }
+  reply.set_in_force(reply.lagging_nodes().empty());
+  return reply;
+}
+
+proto::GetStatusReply OperatorApi::GetStatus(
+    const proto::GetStatusRequest& /*request*/) {
+  proto::GetStatusReply reply;
+  reply.set_node(parts_.self.value);
+  reply.set_catalog_version(parts_.keeper->CatalogVersion());
+  AddNodes(reply);
+  AddBackendServers(reply);
+  AddControl(reply);
+  return reply;
+}
+
+void OperatorApi::AddNodes(proto::GetStatusReply& reply) const {
+  auto& self = *reply.add_nodes();
+  self.set_id(parts_.self.value);
+  self.set_failure_domain(parts_.failure_domain.value);
+  self.set_catalog_version(parts_.keeper->CatalogVersion());
+  self.set_control(parts_.log != nullptr);
+  const SteadyTime now = Now();
+  for (const auto& [id, view] : parts_.cluster->Peers()) {
+    auto& node = *reply.add_nodes();
+    node.set_id(id.value);
+    node.set_failure_domain(view.failure_domain.value);
+    node.set_catalog_version(view.catalog_version);
+    node.set_control(view.control);
+    node.set_heard(view.heard_at.has_value());
+    if (view.heard_at) {
+      node.set_age_ms(Milliseconds(now - *view.heard_at));
+    }
+  }
+}
+
+void OperatorApi::AddBackendServers(proto::GetStatusReply& reply) const {
+  for (const directory::ServerRecord& record : parts_.keeper->Records()) {
+    auto& server = *reply.add_backend_servers();
+    server.set_id(record.id.value);
+    server.set_service(record.service.value);
+    server.set_failure_domain(record.failure_domain.value);
+    server.set_address(record.host + ":" + std::to_string(record.port));
+    server.set_state(std::string(directory::ServerStateName(record.state)));
+    server.set_incarnation(record.incarnation);
+    server.set_owner(record.owner.value);
+  }
+}
+
+void OperatorApi::AddControl(proto::GetStatusReply& reply) const {
+  if (parts_.log == nullptr) {
+    return;
+  }
+  const LogStatus status = parts_.log->Status();
+  auto& control = *reply.mutable_control();
+  control.set_leader(status.leader.value);
+  control.set_term(status.term);
+  control.set_commit_index(status.commit_index);
+  control.set_storage_id(parts_.log->storage_id());
+  control.set_storage_failed(status.storage_failed);
+  control.set_suspended(status.suspended);
+  for (const auto& [node, member] : status.membership.members) {
+    (member.voter ? control.add_voters() : control.add_learners())
+        ->assign(node.value);
+  }
+}
+
+proto::ChangeMembershipReply OperatorApi::ChangeMembership(
+    const proto::ChangeMembershipRequest& request) {
+  if (request.action() == proto::MEMBERSHIP_ACTION_UNSPECIFIED ||
+      request.node().empty()) {
+    throw proto::MalformedMessageError("action and node must be set");
+  }
+  if (request.action() == proto::ADD_LEARNER && request.storage_id().empty()) {
+    throw proto::MalformedMessageError(
+        "ADD_LEARNER needs the storage_id of the new VM");
+  }
+  proto::ForwardRequest call;
+  *call.mutable_membership() = request;
+  CallResult result = parts_.control->Call(std::move(call), kCommandTimeout);
+  if (result.status == CallStatus::kDone) {
+    return result.reply.membership();
   }
-  reply.set_current(true);
-  return {200, "application/json", proto::ToJson(reply)};
+  proto::ChangeMembershipReply reply;
+  reply.set_status(result.status == CallStatus::kNotRun
+                       ? proto::NOT_RUN
+                       : proto::OUTCOME_UNKNOWN);
+  return reply;
 }
 
 }  // namespace gooseberryrock::node
