--- a/libs/storage/include/gooseberryrock/storage/log_store.h
+++ b/libs/storage/include/gooseberryrock/storage/log_store.h
@@ -9,12 +9,18 @@
 
 #include <cstdint>
 #include <deque>
+#include <memory>
 #include <string>
+#include <string_view>
 
 #include "gooseberryrock/consensus/consensus.h"
 #include "gooseberryrock/consensus/effects.h"
 #include "gooseberryrock/storage/file_operations.h"
 
+namespace gooseberryrock::proto {
+class LogBatch;
+}  // namespace gooseberryrock::proto
+
 namespace gooseberryrock::storage {
 
 // Not thread-safe. After a failed operation every later one throws
@@ -53,19 +59,26 @@
 
  private:
   std::string Path(const char* name) const;
-  void CheckUsable() const;
+  // Runs `operation`; a failure makes the store unusable.
+  template <typename Operation>
+  void Run(const Operation& operation);
+  void LoadSnapshot(consensus::Snapshot& snapshot, bool& found);
+  void LoadLog(std::string_view content);
+  void Replay(std::string_view body, uint64_t offset);
+  // Drops entries up to `last` except the last `retained`. Drops all entries
+  // when they do not continue the log from `last`.
+  void DropCovered(const consensus::Position& last, uint64_t retained);
   void RewriteLog();
 
   FileOperations files_;
   std::string folder_;
-  bool loaded_ = false;
   bool failed_ = false;
   uint64_t log_size_ = 0;
   consensus::HardState hard_state_;
   // Entries on disk and buffered; needed to rewrite the log.
   std::deque<consensus::LogEntry> entries_;
-  // Operations that are not yet synced, encoded.
-  std::string buffer_;
+  // Changes that are not yet synced.
+  std::unique_ptr<proto::LogBatch> batch_;
 };
 
 // Carries out the storage part of `effects`: snapshot, truncation, entries and
