telemetry: counters, gauges and latency histograms with text exposition

Cause: a node had no metrics.

Ruled out: a metrics client library of Debian (prometheus-cpp is not in the list of libraries of the design); one lock for all series (each answer of all HTTP threads would wait for it and for the rendering of the page).

Change: RecordAnswer() adds to the series of (service, rank, tenant), which are kept in 16 shards with a lock each: Boost.Accumulators for count, mean and estimated quantiles, Boost.Histogram for the buckets. Counters and gauges come from fixed enums. Labels are bounded: 64 tenants, services of the catalog, 8,192 series in all. RenderMetrics() copies shard by shard.

Conclusion: the cost is bounded whatever callers send.

--- a/cmake/GooseberryrockPackages.cmake
+++ b/cmake/GooseberryrockPackages.cmake
@@ -3,6 +3,7 @@
 
 find_package(Threads REQUIRED)
 find_package(Protobuf REQUIRED)
+find_package(Boost REQUIRED)
 find_package(CLI11 REQUIRED)
 find_package(nlohmann_json REQUIRED)
 find_package(GTest REQUIRED)
--- /dev/null
+++ b/libs/telemetry/include/gooseberryrock/telemetry/metric_names.h
@@ -0,0 +1,79 @@
+// The counters and gauges of a node.
+
+#ifndef GOOSEBERRYROCK_TELEMETRY_METRIC_NAMES_H_
+#define GOOSEBERRYROCK_TELEMETRY_METRIC_NAMES_H_
+
+#include <cstddef>
+#include <string_view>
+
+namespace gooseberryrock::telemetry {
+
+// Rise from the start of the process.
+enum class Counter {
+  kBadRequests,
+  kUnauthorizedRequests,
+  kAdmissionRefused,
+  kAttemptsSent,
+  kHedges,
+  kRetries,
+  kAttemptsCancelled,
+  kAttemptsFailed,
+  kRepliesDropped,
+  kConnectionsOpened,
+  kConnectionsFailed,
+  kConnectionsReplaced,
+  kAnnouncements,
+  kServersExpired,
+  kCrashSuspects,
+  kClaimsAccepted,
+  kClaimsNotRun,
+  kClaimsOutcomeUnknown,
+  kCommandsAccepted,
+  kCommandsRefused,
+  kElections,
+  kLeaderChanges,
+  kLogWriteErrors,
+  kPeerFramesSent,
+  kPeerFramesReceived,
+  kPeerFramesWrongMac,
+  kPeerFramesOtherCluster,
+  kPeerFramesOldVersion,
+  kPeerFramesOversized,
+  kPeerFramesTruncated,
+  kCount,
+};
+
+// Hold the last value set.
+enum class Gauge {
+  kQueriesInFlight,
+  kQueriesQueued,
+  kConnectionsOpen,
+  kServersReady,
+  kServersDraining,
+  kCatalogVersion,
+  kCatalogAgeSeconds,
+  kPeersReachable,
+  kIsLeader,
+  kHasLeader,
+  kTerm,
+  kCommitIndex,
+  kStorageRefused,
+  kReady,
+  kCount,
+};
+
+inline constexpr size_t kCounterCount = static_cast<size_t>(Counter::kCount);
+inline constexpr size_t kGaugeCount = static_cast<size_t>(Gauge::kCount);
+
+// The name in the exposition and a sentence that explains it.
+struct MetricName {
+  std::string_view name;
+  std::string_view help;
+};
+
+MetricName NameOf(Counter counter);
+MetricName NameOf(Gauge gauge);
+
+}  // namespace gooseberryrock::telemetry
+
+#endif  // GOOSEBERRYROCK_TELEMETRY_METRIC_NAMES_H_
--- /dev/null
+++ b/libs/telemetry/src/metric_names.cc
@@ -0,0 +1,95 @@
+// Names of the counters and gauges.
+
+#include "gooseberryrock/telemetry/metric_names.h"
+
+#include <array>
+
+namespace gooseberryrock::telemetry {
+
+namespace {
+
+// In the order of the enums.
+constexpr std::array<MetricName, kCounterCount> kCounterNames = {{
+    {"gbr_bad_requests_total", "Requests refused as malformed."},
+    {"gbr_unauthorized_requests_total",
+     "Operator calls with a wrong or missing token."},
+    {"gbr_admission_refused_total",
+     "Queries refused as not run before anything was sent."},
+    {"gbr_attempts_sent_total", "Subqueries sent to backend servers."},
+    {"gbr_hedges_total", "Attempts sent because another one was slow."},
+    {"gbr_retries_total", "Attempts sent because another one failed."},
+    {"gbr_attempts_cancelled_total",
+     "Attempts cancelled because their result was no longer needed."},
+    {"gbr_attempts_failed_total", "Attempts that ended without rows."},
+    {"gbr_replies_dropped_total",
+     "Replies of unknown or finished attempts or of another snapshot."},
+    {"gbr_connections_opened_total", "Connections opened to backend servers."},
+    {"gbr_connections_failed_total",
+     "Connections that backend servers did not accept."},
+    {"gbr_connections_replaced_total",
+     "Connections closed because they no longer responded."},
+    {"gbr_announcements_total", "Announcements of backend servers."},
+    {"gbr_servers_expired_total",
+     "Backend servers whose announcements stopped."},
+    {"gbr_crash_suspects_total",
+     "Queries suspected of crashing backend servers."},
+    {"gbr_claims_accepted_total",
+     "Non-idempotent requests whose claim was accepted."},
+    {"gbr_claims_not_run_total",
+     "Non-idempotent requests refused as not run for lack of a claim."},
+    {"gbr_claims_outcome_unknown_total",
+     "Non-idempotent requests answered with an unknown outcome."},
+    {"gbr_commands_accepted_total", "Operator commands accepted."},
+    {"gbr_commands_refused_total",
+     "Operator commands that were invalid, in conflict or not run."},
+    {"gbr_elections_total", "Elections that this node started."},
+    {"gbr_leader_changes_total", "Changes of the leader seen by this node."},
+    {"gbr_log_write_errors_total",
+     "Writes or syncs in the data folder that failed."},
+    {"gbr_peer_frames_sent_total", "Frames sent to other nodes."},
+    {"gbr_peer_frames_received_total", "Frames accepted from other nodes."},
+    {"gbr_peer_frames_wrong_mac_total",
+     "Frames refused because of a wrong authentication code."},
+    {"gbr_peer_frames_other_cluster_total",
+     "Frames refused because they name another cluster."},
+    {"gbr_peer_frames_old_version_total",
+     "Frames refused because of an older protocol version."},
+    {"gbr_peer_frames_oversized_total", "Frames refused as oversized."},
+    {"gbr_peer_frames_truncated_total", "Frames refused as truncated."},
+}};
+
+constexpr std::array<MetricName, kGaugeCount> kGaugeNames = {{
+    {"gbr_queries_in_flight", "Queries that run."},
+    {"gbr_queries_queued", "Queries that wait for admission."},
+    {"gbr_connections_open", "Open connections to backend servers."},
+    {"gbr_servers_ready", "Backend servers known as ready."},
+    {"gbr_servers_draining", "Backend servers known as draining."},
+    {"gbr_catalog_version", "Version of the catalog in force at this node."},
+    {"gbr_catalog_age_seconds",
+     "Time since this node heard that its catalog is the newest one."},
+    {"gbr_peers_reachable", "Other nodes heard of within 2 s."},
+    {"gbr_is_leader", "1 when this node leads the replicated log."},
+    {"gbr_has_leader", "1 when this node knows a leader."},
+    {"gbr_term", "Term of the replicated log."},
+    {"gbr_commit_index", "Last committed entry of the replicated log."},
+    {"gbr_storage_refused",
+     "1 when this control node does not vote because its data folder is not "
+     "the one in the membership."},
+    {"gbr_ready", "1 when /readyz succeeds."},
+}};
+
+// A name that is missing at the end would leave an empty element.
+static_assert(!kCounterNames.back().name.empty());
+static_assert(!kGaugeNames.back().name.empty());
+
+}  // namespace
+
+MetricName NameOf(Counter counter) {
+  return kCounterNames.at(static_cast<size_t>(counter));
+}
+
+MetricName NameOf(Gauge gauge) {
+  return kGaugeNames.at(static_cast<size_t>(gauge));
+}
+
+}  // namespace gooseberryrock::telemetry
--- /dev/null
+++ b/tests/telemetry/metrics_test.cc
@@ -0,0 +1,201 @@
+// Metrics and their text exposition.
+
+#include "gooseberryrock/telemetry/metrics.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <regex>
+#include <set>
+#include <sstream>
+#include <thread>
+
+namespace gooseberryrock::telemetry {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::HasSubstr;
+using testing::Not;
+
+AnswerSample Sample(std::string_view tenant, Duration latency) {
+  return {"chairs", Rank::kUrgent, tenant, "complete", latency, 1.0};
+}
+
+// The value on the line that starts with `name`, which may include labels.
+double ValueOf(const std::string& page, const std::string& name) {
+  const size_t at = page.find("\n" + name + " ");
+  EXPECT_NE(at, std::string::npos) << name << " is not in\n" << page;
+  return at == std::string::npos ? -1
+                                 : std::stod(page.substr(at + name.size() + 2));
+}
+
+std::set<std::string> LabelValues(const std::string& page,
+                                  const std::string& label) {
+  const std::regex pattern(label + "=\"([^\"]*)\"");
+  std::set<std::string> values;
+  for (std::sregex_iterator it(page.begin(), page.end(), pattern), end;
+       it != end; ++it) {
+    values.insert((*it)[1]);
+  }
+  return values;
+}
+
+// Guards against buckets that are not cumulative or exclude their bound.
+TEST(MetricsTest, HistogramIsCumulativeAndIncludesUpperBounds) {
+  Metrics metrics;
+  SetServices(metrics, {{"chairs"}});
+  for (int ms : {0, 5, 6, 220, 221, 70000}) {
+    RecordAnswer(metrics, Sample("t", milliseconds(ms)));
+  }
+  const std::string page = RenderMetrics(metrics);
+  const std::string labels = R"(service="chairs",rank="urgent",tenant="t")";
+  const std::string name = "gbr_answer_latency_seconds";
+  const auto bucket = [&](const std::string& le) {
+    return ValueOf(page, name + "_bucket{" + labels + ",le=\"" + le + "\"}");
+  };
+  EXPECT_EQ(bucket("0.005"), 2);
+  EXPECT_EQ(bucket("0.01"), 3);
+  EXPECT_EQ(bucket("0.15"), 3);
+  EXPECT_EQ(bucket("0.22"), 4);
+  EXPECT_EQ(bucket("0.5"), 5);
+  EXPECT_EQ(bucket("60"), 5);
+  EXPECT_EQ(bucket("+Inf"), 6);
+  EXPECT_EQ(ValueOf(page, name + "_count{" + labels + "}"), 6);
+  EXPECT_NEAR(ValueOf(page, name + "_sum{" + labels + "}"), 70.452, 1e-9);
+  EXPECT_THAT(page, HasSubstr("# TYPE gbr_answer_latency_seconds histogram\n"));
+  // Too few samples for an estimate, which would be wrong.
+  EXPECT_THAT(page, Not(HasSubstr("quantile=")));
+}
+
+// Guards against estimates that have nothing to do with the samples.
+TEST(MetricsTest, EstimatesQuantilesAndMeans) {
+  Metrics metrics;
+  SetServices(metrics, {{"chairs"}});
+  // 1 to 1,000 ms, each once, in an order that is not sorted.
+  for (int i = 0; i < 1000; ++i) {
+    AnswerSample sample = Sample("t", milliseconds(i * 7 % 1000 + 1));
+    sample.coverage = i % 2 == 0 ? 1.0 : 0.5;
+    RecordAnswer(metrics, sample);
+  }
+  const std::string page = RenderMetrics(metrics);
+  const std::string labels = R"(service="chairs",rank="urgent",tenant="t")";
+  const auto estimate = [&](const std::string& quantile) {
+    return ValueOf(page, "gbr_answer_latency_estimate_seconds{" + labels +
+                             ",quantile=\"" + quantile + "\"}");
+  };
+  EXPECT_NEAR(estimate("0.5"), 0.5, 0.05);
+  EXPECT_NEAR(estimate("0.95"), 0.95, 0.02);
+  EXPECT_NEAR(estimate("0.99"), 0.99, 0.01);
+  EXPECT_NEAR(ValueOf(page, "gbr_answer_latency_mean_seconds{" + labels + "}"),
+              0.5005, 1e-9);
+  EXPECT_DOUBLE_EQ(ValueOf(page, "gbr_answer_coverage_mean{" + labels + "}"),
+                   0.75);
+}
+
+// Guards against callers who make memory and the page grow without bound.
+TEST(MetricsTest, LabelValuesAreBounded) {
+  Metrics metrics;
+  SetServices(metrics, {{"chairs"}});
+  for (size_t i = 0; i < kMaxTenantLabels + 100; ++i) {
+    const std::string name = "t" + std::to_string(i);
+    RecordAnswer(metrics, Sample(name, milliseconds(1)));
+    RecordAnswer(metrics, {name, Rank::kNormal, "", name, milliseconds(1), {}});
+  }
+  const std::string page = RenderMetrics(metrics);
+  const auto tenants = LabelValues(page, "tenant");
+  EXPECT_EQ(tenants.size(), kMaxTenantLabels + 1);
+  EXPECT_TRUE(tenants.contains("other"));
+  EXPECT_EQ(LabelValues(page, "service"),
+            (std::set<std::string>{"chairs", "unknown"}));
+  EXPECT_EQ(LabelValues(page, "status"),
+            (std::set<std::string>{"complete", "other"}));
+}
+
+// Guards against a page that grows with each service ever defined.
+TEST(MetricsTest, RemovedServicesDisappear) {
+  Metrics metrics;
+  SetServices(metrics, {{"chairs"}});
+  RecordAnswer(metrics, Sample("t", milliseconds(1)));
+  SetServices(metrics, {{"tills"}});
+  EXPECT_THAT(RenderMetrics(metrics), Not(HasSubstr("chairs")));
+}
+
+// Guards against a tenant that breaks out of its label or makes the page
+// invalid UTF-8.
+TEST(MetricsTest, TenantCannotForgeLines) {
+  Metrics metrics;
+  SetServices(metrics, {{"chairs"}});
+  RecordAnswer(metrics, Sample("a\"} 1\nforged\\\xff", milliseconds(1)));
+  EXPECT_THAT(RenderMetrics(metrics),
+              HasSubstr(R"(tenant="a\"} 1_forged\\_",status="complete"} 1)"));
+}
+
+// Guards against a page that a scraper rejects: each line is a comment or a
+// sample, each family is described once and before its samples.
+TEST(MetricsTest, PageHasValidFormat) {
+  Metrics metrics;
+  SetServices(metrics, {{"chairs"}});
+  for (int i = 0; i < 20; ++i) {
+    RecordAnswer(metrics, Sample("t", milliseconds(i)));
+  }
+  Increment(metrics, Counter::kHedges);
+  Increment(metrics, Counter::kHedges, 2);
+  SetGauge(metrics, Gauge::kCatalogVersion, 7);
+  const std::string page = RenderMetrics(metrics);
+  EXPECT_EQ(ValueOf(page, "gbr_hedges_total"), 3);
+  EXPECT_EQ(ValueOf(page, "gbr_catalog_version"), 7);
+  const std::regex help("# HELP (gbr_[a-z_]+) [^\n]+");
+  const std::regex type(
+      "# TYPE (gbr_[a-z_]+) (counter|gauge|histogram|summary)");
+  const std::regex sample(
+      "(gbr_[a-z_]+?)(_bucket|_sum|_count)?"
+      "(\\{[a-z]+=\"[^\"]*\"(,[a-z]+=\"[^\"]*\")*\\})? [-+.e0-9]+");
+  std::set<std::string> families;
+  std::istringstream lines(page);
+  std::smatch match;
+  for (std::string line; std::getline(lines, line);) {
+    if (std::regex_match(line, match, help)) {
+      EXPECT_TRUE(families.insert(match[1]).second) << line;
+    } else if (!std::regex_match(line, match, type)) {
+      ASSERT_TRUE(std::regex_match(line, match, sample)) << line;
+      EXPECT_TRUE(families.contains(match[1])) << line;
+    }
+  }
+  EXPECT_EQ(families.size(), kCounterCount + kGaugeCount + 5);
+}
+
+// Guards against lost updates and data races between threads.
+TEST(MetricsTest, CountsOnSeveralThreads) {
+  constexpr int kThreads = 4;
+  constexpr int kSamples = 2000;
+  Metrics metrics;
+  SetServices(metrics, {{"chairs"}});
+  std::vector<std::thread> threads;
+  threads.reserve(kThreads);
+  for (int i = 0; i < kThreads; ++i) {
+    threads.emplace_back([&, tenant = "t" + std::to_string(i % 2)] {
+      for (int k = 0; k < kSamples; ++k) {
+        RecordAnswer(metrics, Sample(tenant, milliseconds(k)));
+        Increment(metrics, Counter::kAttemptsSent);
+        if (k % 500 == 0) {
+          RenderMetrics(metrics);
+        }
+      }
+    });
+  }
+  for (std::thread& it : threads) {
+    it.join();
+  }
+  const std::string page = RenderMetrics(metrics);
+  EXPECT_EQ(ValueOf(page, "gbr_attempts_sent_total"), kThreads * kSamples);
+  for (const std::string tenant : {"t0", "t1"}) {
+    EXPECT_EQ(ValueOf(page,
+                      "gbr_answer_latency_seconds_count{service="
+                      "\"chairs\",rank=\"urgent\",tenant=\"" +
+                          tenant + "\"}"),
+              kThreads / 2 * kSamples);
+  }
+}
+
+}  // namespace
+}  // namespace gooseberryrock::telemetry
