--- /dev/null
+++ b/libs/node/include/gooseberryrock/node/catalog_keeper.h
@@ -0,0 +1,50 @@
+// The catalog in force at this node.
+
+#ifndef GOOSEBERRYROCK_NODE_CATALOG_KEEPER_H_
+#define GOOSEBERRYROCK_NODE_CATALOG_KEEPER_H_
+
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <optional>
+
+#include "gooseberryrock/base/time.h"
+#include "gooseberryrock/catalog/catalog.h"
+
+namespace gooseberryrock::node {
+
+class CatalogKeeper {
+ public:
+  using ChangeHandler = std::function<void(const catalog::Catalog&)>;
+
+  // `on_change` puts a catalog in force; it must ignore a catalog that is not
+  // newer than the one it had before.
+  explicit CatalogKeeper(ChangeHandler on_change);
+
+  // Puts `catalog` in force when it is newer than the present one.
+  void Put(const catalog::Catalog& catalog);
+
+  // A control VM said at `now` that it knows no newer version than `version`.
+  void Confirm(uint64_t version, SteadyTime now);
+
+  uint64_t Version() const;
+  catalog::Catalog InForce() const;
+  // When the version in force was last confirmed; empty if never.
+  std::optional<SteadyTime> ConfirmedAt() const;
+
+  // Waits until `until` for `version` or a later one. Returns whether it came.
+  bool WaitForVersion(uint64_t version, SteadyTime until) const;
+
+ private:
+  const ChangeHandler on_change_;
+  mutable std::mutex mutex_;
+  mutable std::condition_variable changed_;
+  // Guarded by `mutex_`. The version never decreases.
+  catalog::Catalog catalog_;
+  std::optional<SteadyTime> confirmed_at_;
+};
+
+}  // namespace gooseberryrock::node
+
+#endif  // GOOSEBERRYROCK_NODE_CATALOG_KEEPER_H_
--- a/libs/node/include/gooseberryrock/node/operator_api.h
+++ b/libs/node/include/gooseberryrock/node/operator_api.h
@@ -19,6 +19,7 @@
 
 namespace gooseberryrock::node {
 
+class CatalogKeeper;
 class ClusterView;
 class ControlClient;
 class DirectoryKeeper;
@@ -31,7 +32,8 @@
   FailureDomain failure_domain;
   std::string token;
   ControlClient* control = nullptr;
-  DirectoryKeeper* keeper = nullptr;
+  CatalogKeeper* catalog = nullptr;
+  DirectoryKeeper* directory = nullptr;
   ClusterView* cluster = nullptr;
   // Null on a node that is no control VM.
   ReplicatedLog* log = nullptr;
--- /dev/null
+++ b/libs/node/src/catalog_keeper.cc
@@ -0,0 +1,59 @@
+// The catalog in force at this node.
+
+#include "gooseberryrock/node/catalog_keeper.h"
+
+#include <chrono>
+#include <utility>
+
+namespace gooseberryrock::node {
+
+CatalogKeeper::CatalogKeeper(ChangeHandler on_change)
+    : on_change_(std::move(on_change)) {}
+
+void CatalogKeeper::Put(const catalog::Catalog& catalog) {
+  if (catalog.version <= Version()) {
+    return;
+  }
+  // The version is reported only once the catalog is in force.
+  on_change_(catalog);
+  {
+    std::lock_guard lock(mutex_);
+    if (catalog.version <= catalog_.version) {
+      return;
+    }
+    catalog_.version = catalog.version;
+    catalog_.services = catalog.services;
+    catalog_.reserved_nodes = catalog.reserved_nodes;
+  }
+  changed_.notify_all();
+}
+
+void CatalogKeeper::Confirm(uint64_t version, SteadyTime now) {
+  std::lock_guard lock(mutex_);
+  if (catalog_.version >= version) {
+    confirmed_at_ = now;
+  }
+}
+
+uint64_t CatalogKeeper::Version() const {
+  std::lock_guard lock(mutex_);
+  return catalog_.version;
+}
+
+catalog::Catalog CatalogKeeper::InForce() const {
+  std::lock_guard lock(mutex_);
+  return catalog_;
+}
+
+std::optional<SteadyTime> CatalogKeeper::ConfirmedAt() const {
+  std::lock_guard lock(mutex_);
+  return confirmed_at_;
+}
+
+bool CatalogKeeper::WaitForVersion(uint64_t version, SteadyTime until) const {
+  std::unique_lock lock(mutex_);
+  return changed_.wait_until(lock, until,
+                             [&] { return catalog_.version >= version; });
+}
+
+}  // namespace gooseberryrock::node
--- a/libs/node/src/operator_api.cc
+++ b/libs/node/src/operator_api.cc
@@ -9,6 +9,7 @@
 #include "gooseberryrock/directory/server_record.h"
 #include "gooseberryrock/http/http_request.h"
 #include "gooseberryrock/node/caller_api.h"
+#include "gooseberryrock/node/catalog_keeper.h"
 #include "gooseberryrock/node/cluster_view.h"
 #include "gooseberryrock/node/control_client.h"
 #include "gooseberryrock/node/directory_keeper.h"
@@ -117,7 +118,7 @@
   reply.set_status(result.status == CallStatus::kNotRun
                        ? proto::NOT_RUN
                        : proto::OUTCOME_UNKNOWN);
-  reply.set_version(parts_.keeper->CatalogVersion());
+  reply.set_version(parts_.catalog->Version());
   return reply;
 }
 
@@ -132,9 +133,12 @@
     }
   }
   proto::GetCatalogReply reply;
-  *reply.mutable_catalog() = proto::ToMessage(parts_.keeper->CatalogInForce());
+  *reply.mutable_catalog() = proto::ToMessage(parts_.catalog->InForce());
   reply.set_current(false);
-  reply.set_age_ms(Milliseconds(Now() - parts_.keeper->CatalogConfirmedAt()));
+  if (const auto confirmed_at = parts_.catalog->ConfirmedAt()) {
+    reply.set_confirmed(true);
+    reply.set_age_ms(Milliseconds(Now() - *confirmed_at));
+  }
   return reply;
 }
 
@@ -144,7 +148,7 @@
       std::chrono::milliseconds(std::min(request.timeout_ms(), kMaxWaitMs));
   const SteadyTime until = Now() + timeout;
   proto::WaitInForceReply reply;
-  if (!parts_.keeper->WaitForVersion(request.version(), until)) {
+  if (!parts_.catalog->WaitForVersion(request.version(), until)) {
     reply.add_lagging_nodes(parts_.self.value);
   }
   for (const NodeId& node :
@@ -159,7 +163,7 @@
     const proto::GetStatusRequest& /*request*/) {
   proto::GetStatusReply reply;
   reply.set_node(parts_.self.value);
-  reply.set_catalog_version(parts_.keeper->CatalogVersion());
+  reply.set_catalog_version(parts_.catalog->Version());
   AddNodes(reply);
   AddBackendServers(reply);
   AddControl(reply);
@@ -170,7 +174,7 @@
   auto& self = *reply.add_nodes();
   self.set_id(parts_.self.value);
   self.set_failure_domain(parts_.failure_domain.value);
-  self.set_catalog_version(parts_.keeper->CatalogVersion());
+  self.set_catalog_version(parts_.catalog->Version());
   self.set_control(parts_.log != nullptr);
   const SteadyTime now = Now();
   for (const auto& [id, view] : parts_.cluster->Peers()) {
@@ -187,7 +191,7 @@
 }
 
 void OperatorApi::AddBackendServers(proto::GetStatusReply& reply) const {
-  for (const directory::ServerRecord& record : parts_.keeper->Records()) {
+  for (const directory::ServerRecord& record : parts_.directory->Records()) {
     auto& server = *reply.add_backend_servers();
     server.set_id(record.id.value);
     server.set_service(record.service.value);
