--- /dev/null
+++ b/apps/standin/standin_options.h
@@ -0,0 +1,37 @@
+// What a stand-in backend server is told at its start.
+
+#ifndef GOOSEBERRYROCK_APPS_STANDIN_STANDIN_OPTIONS_H_
+#define GOOSEBERRYROCK_APPS_STANDIN_STANDIN_OPTIONS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "behaviour.h"
+
+namespace gooseberryrock::standin {
+
+struct StandinOptions {
+  std::string id;
+  std::string service;
+  std::string failure_domain;
+  std::string host = "127.0.0.1";
+  // Subqueries and cancellations.
+  uint16_t port = 0;
+  // Control, statistics and executions; not counted as connections of nodes.
+  uint16_t control_port = 0;
+  // "host:port" of the nodes.
+  std::vector<std::string> nodes;
+  // Announce to every node instead of one at a time.
+  bool announce_to_all = false;
+  // "name=value" pairs.
+  std::vector<std::string> labels;
+  uint32_t slots = 3;
+  uint64_t seed = 1;
+  // Behaviour at the start; the control port changes it.
+  Behaviour behaviour;
+};
+
+}  // namespace gooseberryrock::standin
+
+#endif  // GOOSEBERRYROCK_APPS_STANDIN_STANDIN_OPTIONS_H_
--- a/apps/standin/standin_server.cc
+++ b/apps/standin/standin_server.cc
@@ -2,25 +2,35 @@
 
 #include "standin_server.h"
 
-#include <charconv>
-#include <condition_variable>
-#include <map>
+#include <unistd.h>
+
+#include <chrono>
 #include <mutex>
-#include <thread>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <string>
 
+#include "announcer.h"
 #include "backend.pb.h"
-#include "gooseberryrock/http/http_call.h"
-#include "gooseberryrock/http/http_error.h"
-#include "gooseberryrock/http/http_request.h"
+#include "connection_server.h"
 #include "gooseberryrock/http/http_server.h"
 #include "gooseberryrock/proto/json_codec.h"
-#include "gooseberryrock/telemetry/log_event.h"
+#include "gooseberryrock/proto/malformed_message_error.h"
+#include "standin_options.h"
+#include "work_queue.h"
 
 namespace gooseberryrock::standin {
 
 namespace {
 
-constexpr Duration kAnnounceInterval = std::chrono::milliseconds(500);
+using Json = nlohmann::json;
+
+// The control port serves one test program.
+constexpr unsigned kControlThreads = 4;
+constexpr int kCrashExitCode = 70;
+// Distance between the index version asked for and the one in the reply of a
+// server with the wrong snapshot.
+constexpr uint64_t kWrongSnapshotOffset = 1000;
 
 uint64_t Incarnation() {
   return static_cast<uint64_t>(
@@ -29,153 +39,256 @@
           .count());
 }
 
+http::HttpReply JsonReply(int status, std::string body) {
+  return {status, "application/json", std::move(body)};
+}
+
+ReplyFault FaultOf(const Behaviour& behaviour) {
+  if (behaviour.close_after_read) {
+    return ReplyFault::kCloseWithoutReply;
+  }
+  switch (behaviour.half_reply) {
+    case HalfReply::kNone:
+      return ReplyFault::kNone;
+    case HalfReply::kContentLength:
+      return ReplyFault::kHalfContentLength;
+    case HalfReply::kChunked:
+      return ReplyFault::kHalfChunked;
+  }
+  return ReplyFault::kNone;
+}
+
+double Milliseconds(Duration time) {
+  return std::chrono::duration<double, std::milli>(time).count();
+}
+
 }  // namespace
 
 struct StandinServer::Impl {
   explicit Impl(const StandinOptions& standin_options)
       : options(standin_options),
-        server({options.host, options.port,
-                options.connection_limit + options.slots},
-               [this](const http::HttpRequest& it) { return Handle(it); }),
-        announcer([this] { RunAnnouncer(); }) {}
+        random(options.seed),
+        behaviour(options.behaviour),
+        work(options.slots),
+        server(
+            options.host,
+            options.port,
+            [this] { return Policy(); },
+            [this](const http::HttpRequest& it) { return Handle(it); }),
+        control({options.host, options.control_port, kControlThreads},
+                [this](const http::HttpRequest& it) { return Control(it); }),
+        announcer(options.nodes, options.announce_to_all, [this] {
+          return AnnouncementBody();
+        }) {}
 
   ~Impl() {
-    {
-      std::lock_guard lock(mutex);
-      state = "gone";
-      ++sequence;
-      stopping = true;
+    std::lock_guard lock(mutex);
+    behaviour.state = "gone";
+    ++sequence;
+  }
+
+  ConnectionPolicy Policy() {
+    std::lock_guard lock(mutex);
+    return {behaviour.connection_limit, behaviour.connect_delay};
+  }
+
+  Exchange Handle(const http::HttpRequest& request) {
+    try {
+      if (request.path == "/v1/subquery") {
+        return HandleSubquery(request.body);
+      }
+      if (request.path == "/v1/cancel") {
+        return {HandleCancel(request.body)};
+      }
+    } catch (const proto::MalformedMessageError& e) {
+      return {{400, "text/plain", e.what()}};
     }
-    changed.notify_all();
-    announcer.join();
+    return {{404, "text/plain", "not found\n"}};
   }
 
-  http::HttpReply Handle(const http::HttpRequest& request) {
-    if (request.path == "/v1/subquery") {
-      return HandleSubquery(request);
+  Exchange HandleSubquery(const std::string& body) {
+    proto::Subquery subquery;
+    proto::FromJson(body, subquery, /*ignore_unknown=*/true);
+    const SteadyTime arrived = std::chrono::steady_clock::now();
+    Behaviour now;
+    WorkItem item;
+    {
+      std::lock_guard lock(mutex);
+      now = behaviour;
+      item.service_time = DrawServiceTime(now, subqueries++, random);
     }
-    if (request.path == "/v1/cancel") {
-      return {200, "application/json", "{}"};
+    if (!now.crash_marker.empty() &&
+        subquery.text().find(now.crash_marker) != std::string::npos) {
+      ::_exit(kCrashExitCode);
     }
-    if (request.path == "/executions") {
-      return Executions();
+    item.attempt = subquery.attempt_id();
+    item.request_id = subquery.request_id();
+    item.max_queue = now.max_queue;
+    if (now.honour_deadline) {
+      item.deadline =
+          arrived + std::chrono::milliseconds(subquery.deadline_ms());
     }
-    return {404, "text/plain", "not found\n"};
+    proto::SubqueryReply reply = Answer(subquery, now, item);
+    const int status = reply.status() == "refused" ? 503
+                       : reply.status() == "error" ? 500
+                                                   : 200;
+    reply.set_queue_length(static_cast<uint32_t>(ReportedQueueLength(now)));
+    return {JsonReply(status, proto::ToJson(reply)), FaultOf(now)};
   }
 
-  http::HttpReply HandleSubquery(const http::HttpRequest& request) {
-    proto::Subquery subquery;
-    proto::FromJson(request.body, subquery);
+  proto::SubqueryReply Answer(const proto::Subquery& subquery,
+                              const Behaviour& now,
+                              const WorkItem& item) {
     proto::SubqueryReply reply;
     reply.set_attempt_id(subquery.attempt_id());
     reply.set_shard(subquery.shard());
     reply.set_layout_version(subquery.layout_version());
-    reply.set_index_version(subquery.index_version());
+    reply.set_index_version(subquery.index_version() +
+                            (now.wrong_snapshot ? kWrongSnapshotOffset : 0));
     reply.set_end(true);
-    if (subquery.index_version() != options.index_version ||
-        subquery.layout_version() != options.layout_version) {
+    if (!Holds(now, subquery.shard(), subquery.layout_version(),
+               subquery.index_version())) {
       reply.set_status("no_snapshot");
-    } else {
-      Execute(subquery);
-      reply.set_status("ok");
+      return reply;
+    }
+    if (now.shed || now.fail_fast) {
+      reply.set_status(now.shed ? "refused" : "error");
+      return reply;
+    }
+    const WorkResult result = work.Run(item);
+    reply.set_status(result == WorkResult::kDone      ? "ok"
+                     : result == WorkResult::kRefused ? "refused"
+                                                      : "error");
+    if (result == WorkResult::kDone) {
       reply.set_all_rows(true);
-      reply.add_rows(subquery.shard() + "/" + subquery.text());
+      reply.add_rows(reply.shard() + "/" +
+                     std::to_string(reply.layout_version()) + "/" +
+                     std::to_string(reply.index_version()) + "/" + options.id +
+                     "/" + subquery.request_id() + "/" + subquery.text());
     }
-    return {200, "application/json", proto::ToJson(reply)};
+    return reply;
   }
 
-  // Waits for a slot and holds it for the service time.
-  void Execute(const proto::Subquery& subquery) {
-    std::unique_lock lock(mutex);
-    changed.wait(lock, [this] { return busy_slots < options.slots; });
-    ++busy_slots;
-    ++executions[subquery.request_id()];
-    lock.unlock();
-    std::this_thread::sleep_for(options.service_time);
-    lock.lock();
-    --busy_slots;
-    changed.notify_all();
+  size_t ReportedQueueLength(const Behaviour& now) const {
+    const SteadyTime time = std::chrono::steady_clock::now();
+    switch (now.load_report) {
+      case LoadReport::kTrue:
+        return work.QueueLengthAt(time);
+      case LoadReport::kStale:
+        return work.QueueLengthAt(time - now.load_report_age);
+      case LoadReport::kZero:
+        return 0;
+    }
+    return 0;
   }
 
-  http::HttpReply Executions() {
-    std::lock_guard lock(mutex);
-    std::string body;
-    for (const auto& [id, n] : executions) {
-      body += id + " " + std::to_string(n) + "\n";
+  http::HttpReply HandleCancel(const std::string& body) {
+    proto::CancelRequest request;
+    proto::FromJson(body, request, /*ignore_unknown=*/true);
+    bool honour = false;
+    {
+      std::lock_guard lock(mutex);
+      honour = behaviour.honour_cancel;
     }
-    return {200, "text/plain", body};
+    proto::CancelReply reply;
+    reply.set_not_run(honour && work.Cancel(request.attempt_id()));
+    return JsonReply(200, proto::ToJson(reply));
   }
 
-  void RunAnnouncer() {
-    size_t next_node = 0;
-    std::unique_lock lock(mutex);
-    while (true) {
-      const bool last = stopping;
-      const std::string body = AnnouncementBody();
-      lock.unlock();
-      for (size_t i = 0; i < options.nodes.size(); ++i) {
-        Announce(options.nodes[next_node++ % options.nodes.size()], body);
-      }
-      lock.lock();
-      if (last) {
-        return;
-      }
-      changed.wait_for(lock, kAnnounceInterval, [this] { return stopping; });
+  http::HttpReply Control(const http::HttpRequest& request) {
+    if (request.path == "/control") {
+      return ChangeBehaviour(request.body);
+    }
+    if (request.path == "/silence") {
+      server.SilenceOpenConnections();
+      return JsonReply(200, "{}");
+    }
+    if (request.path == "/executions") {
+      return JsonReply(200, Json(work.Executions()).dump());
+    }
+    if (request.path == "/stats") {
+      return JsonReply(200, StatsBody());
+    }
+    return {404, "text/plain", "not found\n"};
+  }
+
+  http::HttpReply ChangeBehaviour(const std::string& body) {
+    try {
+      std::lock_guard lock(mutex);
+      ApplyControl(body, behaviour);
+      ++sequence;
+    } catch (const ControlError& e) {
+      return {400, "text/plain", e.what()};
     }
+    announcer.AnnounceNow();
+    return JsonReply(200, "{}");
+  }
+
+  std::string StatsBody() {
+    const WorkStats stats = work.Stats();
+    const ConnectionStats connections = server.Stats();
+    Json json = {{"done", stats.done},
+                 {"refused", stats.refused},
+                 {"refused_late", stats.refused_late},
+                 {"cancelled_waiting", stats.cancelled_waiting},
+                 {"cancelled_running", stats.cancelled_running},
+                 {"queue_length", stats.queue_length},
+                 {"longest_queue", stats.longest_queue},
+                 {"busy_ms", Milliseconds(stats.busy_time)},
+                 {"wasted_ms", Milliseconds(stats.wasted_time)},
+                 {"connections_open", connections.open},
+                 {"connections_most_open", connections.most_open},
+                 {"connections_accepted", connections.accepted},
+                 {"connections_refused", connections.refused}};
+    std::lock_guard lock(mutex);
+    json["subqueries"] = subqueries;
+    json["state"] = behaviour.state;
+    return json.dump();
   }
 
-  std::string AnnouncementBody() const {
+  std::string AnnouncementBody() {
+    std::lock_guard lock(mutex);
     proto::Announcement message;
     message.set_id(options.id);
     message.set_incarnation(incarnation);
-    message.set_state(state);
+    message.set_state(behaviour.state);
     message.set_sequence(sequence);
     message.set_service(options.service);
     message.set_failure_domain(options.failure_domain);
     message.set_host(options.host);
     message.set_port(options.port);
-    for (const auto& shard : options.shards) {
-      auto& replica = *message.add_replicas();
-      replica.set_layout_version(options.layout_version);
-      replica.set_shard(shard);
-      replica.add_index_versions(options.index_version);
+    for (const std::string& label : options.labels) {
+      const size_t n = label.find('=');
+      (*message.mutable_labels())[label.substr(0, n)] =
+          n == std::string::npos ? "" : label.substr(n + 1);
+    }
+    for (const HeldLayout& layout : behaviour.layouts) {
+      for (const std::string& shard : layout.shards) {
+        auto& replica = *message.add_replicas();
+        replica.set_layout_version(layout.layout_version);
+        replica.set_shard(shard);
+        for (const uint64_t index_version : layout.index_versions) {
+          replica.add_index_versions(index_version);
+        }
+      }
     }
     message.set_slots(options.slots);
-    message.set_connection_limit(options.connection_limit);
+    message.set_connection_limit(behaviour.connection_limit);
     return proto::ToJson(message);
   }
 
-  static bool Announce(const std::string& node, const std::string& body) {
-    const size_t colon = node.rfind(':');
-    uint16_t port = 0;
-    std::from_chars(node.data() + colon + 1, node.data() + node.size(), port);
-    http::HttpCall call;
-    call.host = node.substr(0, colon);
-    call.port = port;
-    call.path = "/v1/announce";
-    call.body = body;
-    call.timeout = kAnnounceInterval;
-    try {
-      return http::Execute(call).status == 200;
-    } catch (const http::HttpError& e) {
-      telemetry::LogEvent(telemetry::LogLevel::kWarning, "announce_failed",
-                          {{"node", node}, {"error", e.what()}});
-      return false;
-    }
-  }
-
   const StandinOptions options;
   const uint64_t incarnation = Incarnation();
   std::mutex mutex;
   // Guarded by `mutex`.
-  std::string state = "ready";
+  std::mt19937_64 random;
+  Behaviour behaviour;
   uint64_t sequence = 1;
-  uint32_t busy_slots = 0;
-  std::map<std::string, uint64_t> executions;
-  bool stopping = false;
-  std::condition_variable changed;
-  http::HttpServer server;
-  std::thread announcer;
+  uint64_t subqueries = 0;
+  WorkQueue work;
+  ConnectionServer server;
+  http::HttpServer control;
+  Announcer announcer;
 };
 
 StandinServer::StandinServer(const StandinOptions& options)
