--- a/libs/node/include/gooseberryrock/node/control_client.h
+++ b/libs/node/include/gooseberryrock/node/control_client.h
@@ -64,15 +64,18 @@
   // recognises a repeated call by its ids.
   CallResult Call(proto::ForwardRequest call, Duration timeout);
 
-  // A call that another node forwards to this control VM.
-  void OnRequest(const NodeId& from, const proto::ForwardRequest& request);
-  void OnReply(const proto::ForwardReply& reply);
+  // An encoded call that another node forwards to this control VM. Throws
+  // MalformedMessageError.
+  void OnRequestFrame(const NodeId& from, const std::string& body);
+  // An encoded reply to a forwarded call. Throws MalformedMessageError.
+  void OnReplyFrame(const std::string& body);
 
  private:
   struct Waiting {
     std::optional<proto::ForwardReply> reply;
   };
 
+  void OnReply(const proto::ForwardReply& reply);
   NodeId NextTarget(size_t attempt) const;
   // Runs the call on this control VM and hands the reply to `done`.
   void RunLocally(const proto::ForwardRequest& request,
--- a/libs/node/include/gooseberryrock/node/directory_keeper.h
+++ b/libs/node/include/gooseberryrock/node/directory_keeper.h
@@ -1,48 +1,103 @@
-// The directory of a node under its lock, with the node's query path kept up to
+// The directory of backend servers of a node: takes in announcements and the
+// changes of other nodes, sends changes on, and keeps the query path up to
 // date.
 
 #ifndef GOOSEBERRYROCK_NODE_DIRECTORY_KEEPER_H_
 #define GOOSEBERRYROCK_NODE_DIRECTORY_KEEPER_H_
 
+#include <cstdint>
+#include <functional>
+#include <map>
 #include <mutex>
+#include <string>
 #include <vector>
 
 #include "gooseberryrock/base/ids.h"
 #include "gooseberryrock/base/time.h"
 #include "gooseberryrock/catalog/catalog.h"
 #include "gooseberryrock/directory/directory.h"
+#include "gooseberryrock/directory/directory_exchange.h"
+#include "gooseberryrock/directory/reservation_history.h"
+#include "gooseberryrock/node/cluster_view.h"
+#include "gooseberryrock/peer/frame_kind.h"
+
+namespace gooseberryrock::peer {
+struct PeerFrame;
+}  // namespace gooseberryrock::peer
 
 namespace gooseberryrock::node {
 
 class QueryEngine;
 class ServiceViews;
 
+struct DirectoryKeeperOptions {
+  NodeId self;
+  // All nodes of the settings, this one among them.
+  std::map<NodeId, FailureDomain> nodes;
+};
+
 class DirectoryKeeper {
  public:
-  DirectoryKeeper(NodeId self, ServiceViews& views, QueryEngine& engine);
+  using FrameSender = std::function<
+      void(const NodeId& to, peer::FrameKind kind, std::string body)>;
+
+  DirectoryKeeper(DirectoryKeeperOptions options,
+                  ServiceViews& views,
+                  QueryEngine& engine,
+                  FrameSender send);
+
+  // An announcement that reached this node. Returns whether the server must
+  // raise its incarnation to be used again.
+  bool OnAnnouncement(const directory::ServerRecord& record, SteadyTime now);
+
+  // A directory delta, digest or pull of another node. Throws
+  // MalformedMessageError.
+  void OnFrame(const peer::PeerFrame& frame, SteadyTime now);
+  // The change count in a heartbeat of `peer`.
+  void OnHeartbeat(const NodeId& peer,
+                   uint64_t incarnation,
+                   uint64_t change_count);
+  // The change count for a heartbeat to `peer`.
+  uint64_t SentCount(const NodeId& peer) const;
 
-  // An announcement that reached this node.
-  void OnAnnouncement(const directory::ServerRecord& record, SteadyTime now);
-  void Expire(SteadyTime now);
+  // Expires and adopts records and sends changes to the other nodes. To be
+  // called each directory::kDeltaInterval.
+  void Maintain(const ClusterView::PeerMap& peers, SteadyTime now);
 
-  // Puts a catalog in force when it is newer than the present one.
-  void PutCatalogInForce(const catalog::Catalog& catalog);
-  uint64_t CatalogVersion() const;
+  // A catalog that is put in force; ignored unless it is newer.
+  void OnCatalog(const catalog::Catalog& catalog);
+  // All nodes report at least this version in force.
+  void OnInForceEverywhere(uint64_t version);
 
   std::vector<directory::ServerRecord> Records() const;
 
  private:
-  // Brings the query path up to date with one record; the lock is held.
-  void Publish(const directory::ServerRecord& record);
-  void RebuildViews();
+  // All functions below need the lock.
+  void SendDeltas(const std::vector<NodeId>& peers);
+  void SendDigests(const std::vector<NodeId>& peers, SteadyTime now);
+  void SendPull(const NodeId& to, const directory::DirectoryPull& pull);
+  void SendDelta(const NodeId& to, const directory::DirectoryDelta& delta);
+  void ForgetLostPeers(const ClusterView::PeerMap& peers, SteadyTime now);
+  std::vector<directory::ServerRecord> ExpireAndAdopt(
+      const ClusterView::PeerMap& peers,
+      SteadyTime now);
+  // Brings the query path up to date with changed records.
+  void Publish(const std::vector<directory::ServerRecord>& records);
+  void PublishAll();
+  uint32_t ShareOf(const directory::ServerRecord& record) const;
 
-  const NodeId self_;
+  const DirectoryKeeperOptions options_;
+  const directory::ReservedPlace place_;
   ServiceViews& views_;
   QueryEngine& engine_;
+  const FrameSender send_;
   mutable std::mutex mutex_;
   // Guarded by `mutex_`.
   directory::Directory directory_;
+  directory::DirectoryExchange exchange_;
+  directory::ReservationHistory reservations_;
   catalog::Catalog catalog_;
+  SteadyTime next_digest_;
 };
 
 }  // namespace gooseberryrock::node
--- /dev/null
+++ b/libs/node/include/gooseberryrock/node/drain_gate.h
@@ -0,0 +1,49 @@
+// Counts the queries in flight and refuses new ones while the node stops.
+
+#ifndef GOOSEBERRYROCK_NODE_DRAIN_GATE_H_
+#define GOOSEBERRYROCK_NODE_DRAIN_GATE_H_
+
+#include <condition_variable>
+#include <cstddef>
+#include <mutex>
+
+#include "gooseberryrock/base/time.h"
+
+namespace gooseberryrock::node {
+
+enum class Entry {
+  kAdmitted,
+  // The node stops.
+  kStopping,
+  // `limit` queries are in flight.
+  kFull,
+};
+
+class DrainGate {
+ public:
+  // An admitted query must be followed by Leave().
+  Entry Enter(size_t limit);
+  void Leave();
+
+  bool IsReady() const;
+  size_t InFlight() const;
+
+  // Steps of a graceful shutdown, in this order.
+  void FailReady();
+  // Gives the balancer time to notice that the node is not ready.
+  void WaitBeforeRefusing(Duration wait);
+  void RefuseNew();
+  void WaitUntilIdle();
+
+ private:
+  mutable std::mutex mutex_;
+  std::condition_variable changed_;
+  // Guarded by `mutex_`.
+  bool ready_ = true;
+  bool refusing_ = false;
+  size_t in_flight_ = 0;
+};
+
+}  // namespace gooseberryrock::node
+
+#endif  // GOOSEBERRYROCK_NODE_DRAIN_GATE_H_
--- a/libs/node/src/control_client.cc
+++ b/libs/node/src/control_client.cc
@@ -7,6 +7,7 @@
 
 #include "control.pb.h"
 #include "gooseberryrock/node/replicated_log.h"
+#include "gooseberryrock/proto/malformed_message_error.h"
 
 namespace gooseberryrock::node {
 
@@ -220,13 +221,25 @@
   }
 }
 
-void ControlClient::OnRequest(const NodeId& from,
-                              const proto::ForwardRequest& request) {
+void ControlClient::OnRequestFrame(const NodeId& from,
+                                   const std::string& body) {
+  proto::ForwardRequest request;
+  if (!request.ParseFromString(body)) {
+    throw proto::MalformedMessageError("not a valid ForwardRequest");
+  }
   RunLocally(request, [this, from](const proto::ForwardReply& reply) {
     send_reply_(from, reply);
   });
 }
 
+void ControlClient::OnReplyFrame(const std::string& body) {
+  proto::ForwardReply reply;
+  if (!reply.ParseFromString(body)) {
+    throw proto::MalformedMessageError("not a valid ForwardReply");
+  }
+  OnReply(reply);
+}
+
 void ControlClient::OnReply(const proto::ForwardReply& reply) {
   {
     std::lock_guard lock(mutex_);
--- a/libs/node/src/directory_keeper.cc
+++ b/libs/node/src/directory_keeper.cc
@@ -1,13 +1,20 @@
-// The directory of a node under its lock.
+// The directory of backend servers of a node.
 
 #include "gooseberryrock/node/directory_keeper.h"
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 #include <utility>
 
 #include "gooseberryrock/directory/merge_record.h"
+#include "gooseberryrock/directory/ownership.h"
 #include "gooseberryrock/node/query_engine.h"
 #include "gooseberryrock/node/service_views.h"
+#include "gooseberryrock/peer/frame.h"
+#include "gooseberryrock/proto/convert_directory.h"
+#include "gooseberryrock/proto/malformed_message_error.h"
+#include "peer.pb.h"
 
 namespace gooseberryrock::node {
 
@@ -15,61 +22,222 @@
 
 // A server that has not announced itself for this long has gone.
 constexpr Duration kExpiry = std::chrono::seconds(2);
-// Nodes that share a server's connection limit when the catalog has no
-// reservation.
-constexpr uint32_t kDefaultReservedNodes = 8;
+// A node that was not heard of for this long is lost.
+constexpr Duration kPeerLoss = std::chrono::seconds(2);
 
-uint32_t ReservedNodes(const catalog::Catalog& catalog) {
-  uint32_t n = 0;
-  for (const auto& [domain, nodes] : catalog.reserved_nodes) {
-    n += nodes;
+template <typename Message>
+Message Parse(const std::string& body) {
+  Message message;
+  if (!message.ParseFromString(body)) {
+    throw proto::MalformedMessageError("not a valid " + message.GetTypeName());
   }
-  return n == 0 ? kDefaultReservedNodes : n;
+  return message;
+}
+
+// The place of `self` among the nodes of its failure domain in order of ids.
+directory::ReservedPlace PlaceOf(const DirectoryKeeperOptions& options) {
+  directory::ReservedPlace place;
+  place.domain = options.nodes.at(options.self);
+  for (const auto& [node, domain] : options.nodes) {
+    if (domain == place.domain && node < options.self) {
+      ++place.position;
+    }
+  }
+  return place;
+}
+
+// The reservation that holds until an operator sets one: the nodes of the
+// settings.
+directory::Reservation DefaultReservation(
+    const DirectoryKeeperOptions& options) {
+  directory::Reservation reservation;
+  for (const auto& [node, domain] : options.nodes) {
+    ++reservation[domain];
+  }
+  return reservation;
+}
+
+bool IsLive(const PeerView& peer, SteadyTime now) {
+  return peer.heard_at && now - *peer.heard_at <= kPeerLoss;
 }
 
 }  // namespace
 
-DirectoryKeeper::DirectoryKeeper(NodeId self,
+DirectoryKeeper::DirectoryKeeper(DirectoryKeeperOptions options,
                                  ServiceViews& views,
-                                 QueryEngine& engine)
-    : self_(std::move(self)), views_(views), engine_(engine) {}
+                                 QueryEngine& engine,
+                                 FrameSender send)
+    : options_(std::move(options)),
+      place_(PlaceOf(options_)),
+      views_(views),
+      engine_(engine),
+      send_(std::move(send)) {
+  reservations_.steps.push_back({0, DefaultReservation(options_)});
+  reservations_.settled = true;
+}
 
-void DirectoryKeeper::OnAnnouncement(const directory::ServerRecord& record,
+bool DirectoryKeeper::OnAnnouncement(const directory::ServerRecord& record,
                                      SteadyTime now) {
   std::lock_guard lock(mutex_);
-  if (directory::AcceptAnnouncement(directory_, record, self_, now)) {
-    Publish(directory_.entries.at(record.id).record);
-    RebuildViews();
+  if (directory::AcceptAnnouncement(directory_, record, options_.self, now)) {
+    Publish({directory_.entries.at(record.id).record});
   }
+  return directory::NeedsNewIncarnation(directory_, record);
 }
 
-void DirectoryKeeper::Expire(SteadyTime now) {
+void DirectoryKeeper::OnFrame(const peer::PeerFrame& frame, SteadyTime now) {
   std::lock_guard lock(mutex_);
-  const auto expired =
-      directory::ExpireServers(directory_, self_, kExpiry, now);
-  for (const auto& record : expired) {
-    Publish(record);
+  const NodeId& from = frame.sender;
+  if (frame.kind == peer::FrameKind::kDirectoryDelta) {
+    const auto delta =
+        proto::FromMessage(Parse<proto::DirectoryDelta>(frame.body));
+    Publish(directory::MergeDelta(directory_, delta, from, now));
+    if (auto pull = directory::OnChangeSpan(
+            exchange_, from, frame.incarnation, delta.from, delta.to)) {
+      SendPull(from, *pull);
+    }
+  } else if (frame.kind == peer::FrameKind::kDirectoryDigest) {
+    const auto answer = directory::OnDigest(
+        directory_,
+        proto::FromMessage(Parse<proto::DirectoryDigest>(frame.body)));
+    if (answer.digest) {
+      send_(from, peer::FrameKind::kDirectoryDigest,
+            proto::ToMessage(*answer.digest).SerializeAsString());
+    }
+    if (answer.pull) {
+      SendPull(from, *answer.pull);
+    }
+  } else if (frame.kind == peer::FrameKind::kDirectoryPull) {
+    const auto answer = directory::OnPull(
+        directory_, exchange_, from,
+        proto::FromMessage(Parse<proto::DirectoryPull>(frame.body)));
+    for (const auto& delta : answer.deltas) {
+      SendDelta(from, delta);
+    }
+    if (answer.pull) {
+      SendPull(from, *answer.pull);
+    }
   }
-  if (!expired.empty()) {
-    RebuildViews();
+}
+
+void DirectoryKeeper::OnHeartbeat(const NodeId& peer,
+                                  uint64_t incarnation,
+                                  uint64_t change_count) {
+  std::lock_guard lock(mutex_);
+  if (auto pull = directory::OnChangeSpan(exchange_, peer, incarnation,
+                                          change_count, change_count)) {
+    SendPull(peer, *pull);
   }
 }
 
-void DirectoryKeeper::PutCatalogInForce(const catalog::Catalog& catalog) {
+uint64_t DirectoryKeeper::SentCount(const NodeId& peer) const {
+  std::lock_guard lock(mutex_);
+  return directory::SentCount(exchange_, peer);
+}
+
+void DirectoryKeeper::Maintain(const ClusterView::PeerMap& peers,
+                               SteadyTime now) {
+  std::lock_guard lock(mutex_);
+  Publish(ExpireAndAdopt(peers, now));
+  directory::RemoveGone(directory_, now);
+  ForgetLostPeers(peers, now);
+  std::set<NodeId> nodes;
+  for (const auto& [node, domain] : options_.nodes) {
+    nodes.insert(node);
+  }
+  const auto exchange_peers = directory::ExchangePeers(nodes, options_.self);
+  SendDeltas(exchange_peers);
+  SendDigests(exchange_peers, now);
+}
+
+std::vector<directory::ServerRecord> DirectoryKeeper::ExpireAndAdopt(
+    const ClusterView::PeerMap& peers,
+    SteadyTime now) {
+  directory::DomainContacts contacts;
+  directory::NodeDomains live;
+  directory::NodeDomains lost;
+  contacts[place_.domain] = now;
+  live[options_.self] = place_.domain;
+  for (const auto& [node, peer] : peers) {
+    (IsLive(peer, now) ? live : lost)[node] = peer.failure_domain;
+    if (peer.heard_at) {
+      SteadyTime& contact = contacts[peer.failure_domain];
+      contact = std::max(contact, *peer.heard_at);
+    }
+  }
+  auto changed = directory::ExpireServers(directory_, options_.self, contacts,
+                                          kExpiry, now);
+  auto adopted = directory::AdoptOrphans(directory_, live, lost, options_.self,
+                                         now);
+  std::move(adopted.begin(), adopted.end(), std::back_inserter(changed));
+  return changed;
+}
+
+void DirectoryKeeper::ForgetLostPeers(const ClusterView::PeerMap& peers,
+                                      SteadyTime now) {
+  for (const auto& [node, peer] : peers) {
+    if (peer.heard_at && !IsLive(peer, now)) {
+      directory::ForgetPeer(exchange_, node);
+    }
+  }
+}
+
+void DirectoryKeeper::SendDeltas(const std::vector<NodeId>& peers) {
+  for (const NodeId& peer : peers) {
+    while (auto delta = directory::TakeDelta(directory_, exchange_, peer)) {
+      SendDelta(peer, *delta);
+    }
+  }
+}
+
+void DirectoryKeeper::SendDigests(const std::vector<NodeId>& peers,
+                                  SteadyTime now) {
+  if (now < next_digest_) {
+    return;
+  }
+  next_digest_ = now + directory::kDigestInterval;
+  const std::string body =
+      proto::ToMessage(directory::MakeRootDigest(directory_))
+          .SerializeAsString();
+  for (const NodeId& peer : directory::TakeDigestPeers(exchange_, peers)) {
+    send_(peer, peer::FrameKind::kDirectoryDigest, body);
+  }
+}
+
+void DirectoryKeeper::SendPull(const NodeId& to,
+                               const directory::DirectoryPull& pull) {
+  send_(to, peer::FrameKind::kDirectoryPull,
+        proto::ToMessage(pull).SerializeAsString());
+}
+
+void DirectoryKeeper::SendDelta(const NodeId& to,
+                                const directory::DirectoryDelta& delta) {
+  send_(to, peer::FrameKind::kDirectoryDelta,
+        proto::ToMessage(delta).SerializeAsString());
+}
+
+void DirectoryKeeper::OnCatalog(const catalog::Catalog& catalog) {
   std::lock_guard lock(mutex_);
   if (catalog.version <= catalog_.version) {
     return;
   }
-  catalog_ = catalog;
-  for (const auto& [id, entry] : directory_.entries) {
-    Publish(entry.record);
+  catalog_.version = catalog.version;
+  catalog_.services = catalog.services;
+  if (catalog.reserved_nodes != catalog_.reserved_nodes) {
+    catalog_.reserved_nodes = catalog.reserved_nodes;
+    directory::PutReservation(reservations_,
+                              {catalog.version, catalog.reserved_nodes});
   }
-  RebuildViews();
+  PublishAll();
 }
 
-uint64_t DirectoryKeeper::CatalogVersion() const {
+void DirectoryKeeper::OnInForceEverywhere(uint64_t version) {
   std::lock_guard lock(mutex_);
-  return catalog_.version;
+  const size_t steps = reservations_.steps.size();
+  directory::OnInForceEverywhere(reservations_, version);
+  if (reservations_.steps.size() != steps) {
+    PublishAll();
+  }
 }
 
 std::vector<directory::ServerRecord> DirectoryKeeper::Records() const {
@@ -77,14 +245,27 @@
   return directory::ChangesSince(directory_, 0);
 }
 
-void DirectoryKeeper::Publish(const directory::ServerRecord& record) {
-  const uint32_t share =
-      std::max(record.connection_limit / ReservedNodes(catalog_), 1U);
-  engine_.OnServerChanged(record, share);
+void DirectoryKeeper::Publish(
+    const std::vector<directory::ServerRecord>& records) {
+  if (records.empty()) {
+    return;
+  }
+  for (const auto& record : records) {
+    engine_.OnServerChanged(record, ShareOf(record));
+  }
+  views_.Rebuild(catalog_, directory_);
 }
 
-void DirectoryKeeper::RebuildViews() {
+void DirectoryKeeper::PublishAll() {
+  for (const auto& [id, entry] : directory_.entries) {
+    engine_.OnServerChanged(entry.record, ShareOf(entry.record));
+  }
   views_.Rebuild(catalog_, directory_);
 }
 
+uint32_t DirectoryKeeper::ShareOf(const directory::ServerRecord& record) const {
+  return directory::ShareInForce(reservations_, record.connection_limit,
+                                 record.failure_domain, place_);
+}
+
 }  // namespace gooseberryrock::node
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -2,50 +2,161 @@
 
 #include "gooseberryrock/node/node.h"
 
+#include <algorithm>
 #include <chrono>
-#include <condition_variable>
-#include <mutex>
+#include <map>
+#include <optional>
 #include <string>
-#include <thread>
+#include <utility>
+#include <vector>
 
-#include "backend.pb.h"
 #include "gooseberryrock/http/http_request.h"
 #include "gooseberryrock/http/http_server.h"
-#include "gooseberryrock/node/caller_api.h"
+#include "gooseberryrock/node/at_most_once.h"
+#include "gooseberryrock/node/catalog_keeper.h"
+#include "gooseberryrock/node/cluster_view.h"
+#include "gooseberryrock/node/control_client.h"
+#include "gooseberryrock/node/control_machine.h"
 #include "gooseberryrock/node/directory_keeper.h"
+#include "gooseberryrock/node/drain_gate.h"
+#include "gooseberryrock/node/frame_dispatcher.h"
+#include "gooseberryrock/node/http_api.h"
 #include "gooseberryrock/node/operator_api.h"
+#include "gooseberryrock/node/peer_loop.h"
 #include "gooseberryrock/node/query_engine.h"
+#include "gooseberryrock/node/replicated_log.h"
 #include "gooseberryrock/node/service_views.h"
-#include "gooseberryrock/proto/convert_server_record.h"
-#include "gooseberryrock/proto/json_codec.h"
-#include "gooseberryrock/proto/malformed_message_error.h"
-#include "gooseberryrock/query/answer.h"
+#include "gooseberryrock/peer/frame.h"
+#include "gooseberryrock/peer/peer_socket.h"
+#include "gooseberryrock/proto/convert_catalog.h"
 #include "gooseberryrock/settings/settings.h"
-#include "gooseberryrock/telemetry/log_event.h"
+#include "gooseberryrock/telemetry/metrics.h"
 
 namespace gooseberryrock::node {
 
 namespace {
 
-constexpr Duration kMaintenanceInterval = std::chrono::milliseconds(200);
-constexpr uint32_t kAnnounceWithinMs = 500;
+// Attempt ids and claims start at the microseconds since 1970 times this, which
+// leaves earlier incarnations behind while they made fewer of them than this
+// for each microsecond of their life.
+constexpr uint64_t kIdsPerMicrosecond = 16;
 
-// Attempt ids start at the microseconds since 1970 times this, which leaves
-// earlier incarnations behind while they made fewer attempts than this for each
-// microsecond of their life.
-constexpr query::AttemptId kAttemptsPerMicrosecond = 16;
-
-query::AttemptId FirstAttempt() {
+uint64_t Incarnation() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<query::AttemptId>(
+  return static_cast<uint64_t>(
              std::chrono::duration_cast<std::chrono::microseconds>(now)
                  .count()) *
-         kAttemptsPerMicrosecond;
+         kIdsPerMicrosecond;
+}
+
+std::string AddressText(const settings::Address& address) {
+  return address.host + ":" + std::to_string(address.port);
+}
+
+QueryEngineOptions EngineOptions(const settings::Settings& settings,
+                                 uint64_t incarnation) {
+  QueryEngineOptions options;
+  options.failure_domain = settings.failure_domain;
+  options.query_shards = settings.query_shards;
+  options.io_shards = settings.io_shards;
+  options.first_attempt = incarnation;
+  return options;
+}
+
+DirectoryKeeperOptions DirectoryOptions(const settings::Settings& settings) {
+  DirectoryKeeperOptions options;
+  options.self = settings.node;
+  options.nodes[settings.node] = settings.failure_domain;
+  for (const auto& peer : settings.peers) {
+    options.nodes[peer.node] = peer.failure_domain;
+  }
+  return options;
+}
+
+ClusterView::PeerMap PeerViews(const settings::Settings& settings) {
+  ClusterView::PeerMap peers;
+  for (const auto& peer : settings.peers) {
+    PeerView view;
+    view.failure_domain = peer.failure_domain;
+    view.control = peer.control;
+    peers[peer.node] = view;
+  }
+  return peers;
+}
+
+// The other control VMs, those of the own failure domain first.
+std::vector<NodeId> ControlPeers(const settings::Settings& settings) {
+  std::vector<NodeId> own;
+  std::vector<NodeId> others;
+  for (const auto& peer : settings.peers) {
+    if (peer.control) {
+      const bool near = peer.failure_domain == settings.failure_domain;
+      (near ? own : others).push_back(peer.node);
+    }
+  }
+  own.insert(own.end(), others.begin(), others.end());
+  return own;
+}
+
+std::vector<NodeId> DomainPeers(const settings::Settings& settings) {
+  std::vector<NodeId> peers;
+  for (const auto& peer : settings.peers) {
+    if (peer.failure_domain == settings.failure_domain) {
+      peers.push_back(peer.node);
+    }
+  }
+  return peers;
+}
+
+bool IsControl(const settings::Settings& settings) {
+  return !settings.data_folder.empty();
+}
+
+ControlClientOptions ClientOptions(const settings::Settings& settings) {
+  ControlClientOptions options{settings.node, ControlPeers(settings)};
+  if (IsControl(settings)) {
+    options.control_nodes.insert(options.control_nodes.begin(), settings.node);
+  }
+  return options;
+}
+
+ReplicatedLogOptions LogOptions(const settings::Settings& settings) {
+  ReplicatedLogOptions options;
+  options.self = settings.node;
+  options.cluster = settings.cluster;
+  options.data_folder = settings.data_folder;
+  if (!settings.join_existing_log) {
+    options.initial_members[settings.node] = AddressText(settings.peer_address);
+    for (const auto& peer : settings.peers) {
+      if (peer.control) {
+        options.initial_members[peer.node] = AddressText(peer.peer_address);
+      }
+    }
+  }
+  return options;
 }
 
-QueryEngineOptions EngineOptions(const settings::Settings& settings) {
-  return {settings.failure_domain, settings.query_shards, settings.io_shards,
-          FirstAttempt()};
+peer::PeerSocketOptions SocketOptions(const settings::Settings& settings,
+                                      uint64_t incarnation) {
+  peer::PeerSocketOptions options;
+  options.cluster = settings.cluster;
+  options.cluster_key = settings.cluster_key;
+  options.self = {settings.node, settings.peer_address.host,
+                  settings.peer_address.port};
+  options.incarnation = incarnation;
+  for (const auto& peer : settings.peers) {
+    options.peers.push_back(
+        {peer.node, peer.peer_address.host, peer.peer_address.port});
+  }
+  return options;
+}
+
+http::HttpServerOptions ServerOptions(const settings::Settings& settings) {
+  http::HttpServerOptions options;
+  options.host = settings.http_address.host;
+  options.port = settings.http_address.port;
+  options.threads = settings.http_threads;
+  return options;
 }
 
 }  // namespace
@@ -53,113 +164,181 @@
 struct Node::Impl {
   explicit Impl(const settings::Settings& node_settings)
       : settings(node_settings),
-        engine(EngineOptions(settings), views),
-        keeper(settings.node, views, engine),
-        operator_api(settings.operator_token, keeper),
-        server({settings.http_address.host, settings.http_address.port,
-                settings.http_threads},
-               [this](const http::HttpRequest& it) { return Handle(it); }),
-        maintenance([this] { RunMaintenance(); }) {}
+        incarnation(Incarnation()),
+        engine(EngineOptions(settings, incarnation), views),
+        cluster(PeerViews(settings)),
+        socket(SocketOptions(settings, incarnation),
+               [this](const peer::PeerFrame& it) { dispatcher.Dispatch(it); }),
+        directory(DirectoryOptions(settings), views, engine, Sender()),
+        catalog([this](const auto& it) { PutInForce(it); }) {
+    if (IsControl(settings)) {
+      log.emplace(LogOptions(settings),
+                  MakeStateMachine(control_state,
+                                   [this](const auto& it) { catalog.Put(it); }),
+                  [this](const NodeId& to, std::string body) {
+                    socket.Send(to, peer::FrameKind::kConsensus,
+                                std::move(body));
+                  });
+    }
+    control.emplace(
+        ClientOptions(settings), LogOrNull(),
+        [this](const NodeId& to, const proto::ForwardRequest& it) {
+          socket.Send(to, peer::FrameKind::kForwardRequest,
+                      it.SerializeAsString());
+        },
+        [this](const NodeId& to, const proto::ForwardReply& it) {
+          socket.Send(to, peer::FrameKind::kForwardReply,
+                      it.SerializeAsString());
+        },
+        [this] { return ReadCatalog(); });
+    peer_loop.emplace(LoopParts());
+    at_most_once.emplace(settings.node, incarnation, *control, engine);
+    operator_api.emplace(ApiParts());
+    RegisterHandlers();
+    http_api.emplace(HttpParts());
+    server.emplace(ServerOptions(settings), [this](const auto& it) {
+      return http_api->Handle(it);
+    });
+  }
 
+  // Parts that other threads call are stopped before what they use.
   ~Impl() {
-    {
-      std::lock_guard lock(mutex);
-      stopping = true;
-    }
-    changed.notify_all();
-    maintenance.join();
+    server.reset();
+    dispatcher.Close();
+    peer_loop.reset();
+    log.reset();
   }
 
-  http::HttpReply Handle(const http::HttpRequest& request) {
-    if (request.path.starts_with(kQueryPathPrefix)) {
-      return HandleQuery(request);
-    }
-    if (request.path == "/v1/announce") {
-      return HandleAnnouncement(request);
-    }
-    if (request.path.starts_with(kOperatorPathPrefix)) {
-      return operator_api.Handle(request);
-    }
-    if (request.path == "/healthz") {
-      return {200, "text/plain", "ok\n"};
-    }
-    if (request.path == "/readyz") {
-      std::lock_guard lock(mutex);
-      return ready ? http::HttpReply{200, "text/plain", "ready\n"}
-                   : http::HttpReply{503, "text/plain", "not ready\n"};
-    }
-    return ErrorReply(404, "not_found", "there is nothing at this path");
+  DirectoryKeeper::FrameSender Sender() {
+    return [this](const NodeId& to, peer::FrameKind kind, std::string body) {
+      socket.Send(to, kind, std::move(body));
+    };
   }
 
-  http::HttpReply HandleQuery(const http::HttpRequest& request) {
-    auto parsed = ParseQuery(request, std::chrono::steady_clock::now());
-    if (auto* error = std::get_if<http::HttpReply>(&parsed)) {
-      return *error;
-    }
-    const auto& query = std::get<query::QueryRequest>(parsed);
-    {
-      std::lock_guard lock(mutex);
-      if (refusing) {
-        return RenderAnswer(query.id,
-                            query::NotRun(query::AnswerReason::kStopping));
-      }
-      ++in_flight;
+  ReplicatedLog* LogOrNull() { return log ? &*log : nullptr; }
+
+  void PutInForce(const catalog::Catalog& it) {
+    directory.OnCatalog(it);
+    std::vector<ServiceName> services;
+    for (const auto& [name, definition] : it.services) {
+      services.push_back(name);
     }
-    const query::Answer answer = engine.Execute(query);
-    {
-      std::lock_guard lock(mutex);
-      --in_flight;
+    telemetry::SetServices(metrics, services);
+  }
+
+  // Runs on the thread of the replicated log, which owns `control_state`.
+  std::string ReadCatalog() const {
+    proto::ForwardReply reply;
+    auto& catalog_reply = *reply.mutable_catalog();
+    *catalog_reply.mutable_catalog() = proto::ToMessage(control_state.catalog);
+    catalog_reply.set_current(true);
+    return reply.SerializeAsString();
+  }
+
+  PeerLoopParts LoopParts() {
+    PeerLoopParts parts;
+    parts.self = settings.node;
+    parts.failure_domain = settings.failure_domain;
+    parts.control_peers = ControlPeers(settings);
+    parts.domain_peers = DomainPeers(settings);
+    parts.has_log = log.has_value();
+    parts.catalog = &catalog;
+    parts.cluster = &cluster;
+    parts.directory = &directory;
+    parts.send = Sender();
+    return parts;
+  }
+
+  OperatorApiParts ApiParts() {
+    OperatorApiParts parts;
+    parts.self = settings.node;
+    parts.failure_domain = settings.failure_domain;
+    parts.token = settings.operator_token;
+    parts.control = &*control;
+    parts.catalog = &catalog;
+    parts.directory = &directory;
+    parts.cluster = &cluster;
+    parts.log = LogOrNull();
+    return parts;
+  }
+
+  HttpApiParts HttpParts() {
+    HttpApiParts parts;
+    parts.max_in_flight = settings.max_in_flight;
+    parts.engine = &engine;
+    parts.at_most_once = &*at_most_once;
+    parts.directory = &directory;
+    parts.operator_api = &*operator_api;
+    parts.gate = &gate;
+    parts.metrics = &metrics;
+    parts.has_catalog = [this] { return peer_loop->HasCatalog(); };
+    return parts;
+  }
+
+  void RegisterHandlers() {
+    using peer::FrameKind;
+    const auto to_directory = [this](const peer::PeerFrame& it) {
+      directory.OnFrame(it, std::chrono::steady_clock::now());
+    };
+    const auto to_loop = [this](const peer::PeerFrame& it) {
+      peer_loop->OnFrame(it);
+    };
+    for (FrameKind kind : {FrameKind::kDirectoryDelta,
+                           FrameKind::kDirectoryDigest,
+                           FrameKind::kDirectoryPull}) {
+      dispatcher.Register(kind, to_directory);
     }
-    changed.notify_all();
-    return RenderAnswer(query.id, answer);
-  }
-
-  http::HttpReply HandleAnnouncement(const http::HttpRequest& request) {
-    proto::Announcement message;
-    try {
-      proto::FromJson(request.body, message, /*ignore_unknown=*/true);
-      keeper.OnAnnouncement(proto::FromMessage(message),
-                            std::chrono::steady_clock::now());
-    } catch (const proto::MalformedMessageError& e) {
-      return ErrorReply(400, "malformed_message", e.what());
+    for (FrameKind kind : {FrameKind::kPeerHeartbeat, FrameKind::kCatalogPoll,
+                           FrameKind::kCatalogPollReply}) {
+      dispatcher.Register(kind, to_loop);
     }
-    proto::AnnouncementReply reply;
-    reply.set_announce_within_ms(kAnnounceWithinMs);
-    return {200, "application/json", proto::ToJson(reply)};
-  }
-
-  void RunMaintenance() {
-    std::unique_lock lock(mutex);
-    while (!stopping) {
-      changed.wait_for(lock, kMaintenanceInterval);
-      lock.unlock();
-      keeper.Expire(std::chrono::steady_clock::now());
-      lock.lock();
+    if (log) {
+      dispatcher.Register(FrameKind::kConsensus,
+                          [this](const peer::PeerFrame& it) {
+                            log->OnMessage(it.body);
+                          });
     }
+    dispatcher.Register(FrameKind::kForwardRequest,
+                        [this](const peer::PeerFrame& it) {
+                          control->OnRequestFrame(it.sender, it.body);
+                        });
+    dispatcher.Register(
+        FrameKind::kForwardReply,
+        [this](const peer::PeerFrame& it) { control->OnReplyFrame(it.body); });
   }
 
   void Drain() {
-    std::unique_lock lock(mutex);
-    ready = false;
-    changed.wait_for(lock, settings.drain_wait, [this] { return stopping; });
-    refusing = true;
-    changed.wait(lock, [this] { return in_flight == 0; });
+    gate.FailReady();
+    gate.WaitBeforeRefusing(settings.drain_wait);
+    gate.RefuseNew();
+    gate.WaitUntilIdle();
+    if (log) {
+      log->TransferLeadership();
+    }
+    peer_loop->AnnounceLeaving();
   }
 
   const settings::Settings settings;
+  const uint64_t incarnation;
+  telemetry::Metrics metrics;
+  DrainGate gate;
   ServiceViews views;
   QueryEngine engine;
-  DirectoryKeeper keeper;
-  OperatorApi operator_api;
-  std::mutex mutex;
-  // Guarded by `mutex`.
-  bool ready = true;
-  bool refusing = false;
-  bool stopping = false;
-  uint64_t in_flight = 0;
-  std::condition_variable changed;
-  http::HttpServer server;
-  std::thread maintenance;
+  ClusterView cluster;
+  FrameDispatcher dispatcher;
+  peer::PeerSocket socket;
+  DirectoryKeeper directory;
+  CatalogKeeper catalog;
+  // Used on the thread of the replicated log only.
+  ControlState control_state;
+  // Empty on a node without a data folder.
+  std::optional<ReplicatedLog> log;
+  std::optional<ControlClient> control;
+  std::optional<PeerLoop> peer_loop;
+  std::optional<AtMostOnceExecutor> at_most_once;
+  std::optional<OperatorApi> operator_api;
+  std::optional<HttpApi> http_api;
+  std::optional<http::HttpServer> server;
 };
 
 Node::Node(const settings::Settings& settings)
--- /dev/null
+++ b/libs/node/src/peer_loop.cc
@@ -0,0 +1,181 @@
+// The periodic exchange of a node with the other nodes.
+
+#include "gooseberryrock/node/peer_loop.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "gooseberryrock/catalog/catalog.h"
+#include "gooseberryrock/node/catalog_keeper.h"
+#include "gooseberryrock/node/cluster_view.h"
+#include "gooseberryrock/node/directory_keeper.h"
+#include "gooseberryrock/peer/frame.h"
+#include "gooseberryrock/proto/convert_catalog.h"
+#include "gooseberryrock/proto/malformed_message_error.h"
+#include "peer.pb.h"
+
+namespace gooseberryrock::node {
+
+namespace {
+
+constexpr Duration kTickInterval = directory::kDeltaInterval;
+// A starting node waits this long for answers of all nodes that it asked, and
+// then takes the highest version among the answers that it has.
+constexpr Duration kStartWait = std::chrono::seconds(3);
+
+SteadyTime Now() {
+  return std::chrono::steady_clock::now();
+}
+
+template <typename Message>
+Message Parse(const std::string& body) {
+  Message message;
+  if (!message.ParseFromString(body)) {
+    throw proto::MalformedMessageError("not a valid " + message.GetTypeName());
+  }
+  return message;
+}
+
+uint64_t LowestVersion(const ClusterView::PeerMap& peers, uint64_t own) {
+  for (const auto& [node, peer] : peers) {
+    own = std::min(own, peer.heard_at ? peer.catalog_version : 0);
+  }
+  return own;
+}
+
+}  // namespace
+
+PeerLoop::PeerLoop(PeerLoopParts parts)
+    : parts_(std::move(parts)), started_(Now()) {
+  has_catalog_ = parts_.control_peers.empty() && parts_.domain_peers.empty();
+  thread_ = std::thread([this] { Run(); });
+}
+
+PeerLoop::~PeerLoop() {
+  {
+    std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  changed_.notify_all();
+  thread_.join();
+}
+
+void PeerLoop::OnFrame(const peer::PeerFrame& frame) {
+  if (frame.kind == peer::FrameKind::kPeerHeartbeat) {
+    OnHeartbeat(frame);
+  } else if (frame.kind == peer::FrameKind::kCatalogPoll) {
+    OnCatalogPoll(frame);
+  } else if (frame.kind == peer::FrameKind::kCatalogPollReply) {
+    OnCatalogPollReply(frame);
+  }
+}
+
+bool PeerLoop::HasCatalog() const {
+  std::lock_guard lock(mutex_);
+  return has_catalog_;
+}
+
+void PeerLoop::AnnounceLeaving() {
+  {
+    std::lock_guard lock(mutex_);
+    leaving_ = true;
+  }
+  SendHeartbeats();
+}
+
+void PeerLoop::Run() {
+  std::unique_lock lock(mutex_);
+  while (!stopping_) {
+    lock.unlock();
+    Tick(Now());
+    lock.lock();
+    changed_.wait_for(lock, kTickInterval, [this] { return stopping_; });
+  }
+}
+
+void PeerLoop::Tick(SteadyTime now) {
+  parts_.directory->Maintain(parts_.cluster->Peers(), now);
+  SendHeartbeats();
+  SendCatalogPolls();
+  parts_.directory->OnInForceEverywhere(
+      LowestVersion(parts_.cluster->Peers(), parts_.catalog->Version()));
+  std::lock_guard lock(mutex_);
+  if (now - started_ >= kStartWait && !answered_.empty()) {
+    has_catalog_ = true;
+  }
+}
+
+void PeerLoop::SendHeartbeats() {
+  proto::PeerHeartbeat message;
+  message.set_catalog_version(parts_.catalog->Version());
+  message.set_failure_domain(parts_.failure_domain.value);
+  {
+    std::lock_guard lock(mutex_);
+    message.set_leaving(leaving_);
+  }
+  for (const auto& [node, peer] : parts_.cluster->Peers()) {
+    message.set_change_count(parts_.directory->SentCount(node));
+    parts_.send(node, peer::FrameKind::kPeerHeartbeat,
+                message.SerializeAsString());
+  }
+}
+
+void PeerLoop::SendCatalogPolls() {
+  proto::CatalogPoll message;
+  message.set_version(parts_.catalog->Version());
+  const std::string body = message.SerializeAsString();
+  std::set<NodeId> targets;
+  {
+    std::lock_guard lock(mutex_);
+    if (!has_catalog_) {
+      targets.insert(parts_.control_peers.begin(), parts_.control_peers.end());
+      targets.insert(parts_.domain_peers.begin(), parts_.domain_peers.end());
+    } else if (!parts_.has_log && !parts_.control_peers.empty()) {
+      const size_t n = parts_.control_peers.size();
+      targets.insert(parts_.control_peers[next_control_peer_++ % n]);
+    }
+  }
+  for (const NodeId& node : targets) {
+    parts_.send(node, peer::FrameKind::kCatalogPoll, body);
+  }
+}
+
+void PeerLoop::OnHeartbeat(const peer::PeerFrame& frame) {
+  const auto message = Parse<proto::PeerHeartbeat>(frame.body);
+  parts_.cluster->OnHeartbeat(frame.sender, message.catalog_version(),
+                              message.leaving(), Now());
+  parts_.directory->OnHeartbeat(frame.sender, frame.incarnation,
+                                message.change_count());
+}
+
+void PeerLoop::OnCatalogPoll(const peer::PeerFrame& frame) {
+  const auto message = Parse<proto::CatalogPoll>(frame.body);
+  proto::CatalogPollReply reply;
+  reply.set_version(parts_.catalog->Version());
+  if (message.version() < reply.version()) {
+    *reply.mutable_catalog() = proto::ToMessage(parts_.catalog->InForce());
+  }
+  parts_.send(frame.sender, peer::FrameKind::kCatalogPollReply,
+              reply.SerializeAsString());
+}
+
+void PeerLoop::OnCatalogPollReply(const peer::PeerFrame& frame) {
+  const auto message = Parse<proto::CatalogPollReply>(frame.body);
+  if (message.has_catalog()) {
+    parts_.catalog->Put(proto::FromMessage(message.catalog()));
+  }
+  parts_.catalog->Confirm(message.version(), Now());
+  std::lock_guard lock(mutex_);
+  answered_.insert(frame.sender);
+  const auto has_answered = [this](const NodeId& node) {
+    return answered_.contains(node);
+  };
+  has_catalog_ = has_catalog_ ||
+                 (std::all_of(parts_.control_peers.begin(),
+                              parts_.control_peers.end(), has_answered) &&
+                  std::all_of(parts_.domain_peers.begin(),
+                              parts_.domain_peers.end(), has_answered));
+}
+
+}  // namespace gooseberryrock::node
--- a/libs/settings/include/gooseberryrock/settings/settings.h
+++ b/libs/settings/include/gooseberryrock/settings/settings.h
@@ -38,6 +38,9 @@
   Address peer_address;
   // Empty: the node has no disk and no part in the replicated log.
   std::string data_folder;
+  // Set on a control VM with a new data folder that replaces another one: it
+  // joins the replicated log as a learner instead of starting a new log.
+  bool join_existing_log = false;
   // All other nodes.
   std::vector<PeerSettings> peers;
   // At least 32 characters; from the settings or from a file of its own.
--- a/libs/settings/src/check_settings.cc
+++ b/libs/settings/src/check_settings.cc
@@ -315,7 +315,8 @@
                    "http_address", "peer_address", "data_folder", "peers",
                    "cluster_key", "cluster_key_file", "operator_token",
                    "operator_token_file", "http_threads", "query_shards",
-                   "io_shards", "drain_wait_ms", "log_level", "max_in_flight"});
+                   "io_shards", "drain_wait_ms", "log_level", "max_in_flight",
+                   "join_existing_log"});
   Settings& settings = report.settings;
   settings.cluster = ReadName(root, "cluster", Presence::kRequired);
   settings.node.value = ReadName(root, "node", Presence::kRequired);
@@ -325,6 +326,8 @@
   settings.http_address = ReadAddress(root, "http_address");
   settings.peer_address = ReadAddress(root, "peer_address");
   ReadDataFolder(root, settings);
+  settings.join_existing_log =
+      ReadBool(root, "join_existing_log", settings.join_existing_log);
   ReadPeers(root, settings);
   settings.cluster_key =
       ReadSecret(root, "cluster_key", kClusterKeyLength, report.warnings);
