directory: exchange by deltas and digests, ownership, connection shares

Cause: nodes have no common view of the backend servers. Ruled out: expiry by the last announcement alone. In the simulation an owner that is cut off from a server's failure domain declares the server gone after 2 s, and "gone" wins when the partition ends; so does an owner that is cut off alone. Ruled out as well: counting a domain as reachable by the age of its last message; a partition of exactly 2 s still expired 4 live servers. Change: index of records by change count, deltas with the span of counts they cover and a pull on a gap, a two-level digest, take-over of the records of lost nodes, expiry only with unbroken contact to the server's failure domain, forgetting of gone servers after 10 minutes, a bound of 50,000 records, ConnectionShare and the change from one reservation to the next.

--- /dev/null
+++ b/libs/directory/include/gooseberryrock/directory/reservation.h
@@ -0,0 +1,26 @@
+// For how many nodes of each failure domain the connection limits of the
+// backend servers are divided.
+
+#ifndef GOOSEBERRYROCK_DIRECTORY_RESERVATION_H_
+#define GOOSEBERRYROCK_DIRECTORY_RESERVATION_H_
+
+#include <cstdint>
+#include <map>
+
+#include "gooseberryrock/base/ids.h"
+
+namespace gooseberryrock::directory {
+
+using Reservation = std::map<FailureDomain, uint32_t>;
+
+// The place of a node in a reservation.
+struct ReservedPlace {
+  FailureDomain domain;
+  // Position among the nodes of the failure domain, from 0. Two nodes that run
+  // at the same time never have the same place.
+  uint32_t position = 0;
+};
+
+}  // namespace gooseberryrock::directory
+
+#endif  // GOOSEBERRYROCK_DIRECTORY_RESERVATION_H_
--- /dev/null
+++ b/libs/directory/src/connection_share.cc
@@ -0,0 +1,80 @@
+// Division of a server's connection limit.
+
+#include "gooseberryrock/directory/connection_share.h"
+
+#include <algorithm>
+
+namespace gooseberryrock::directory {
+
+namespace {
+
+// Weight of a place in the server's failure domain against one elsewhere.
+constexpr uint64_t kInsideWeight = 2;
+
+// The places as one sequence: those of the server's failure domain, then the
+// others in the order of their domains.
+struct Places {
+  uint64_t inside = 0;
+  uint64_t outside = 0;
+  uint64_t index = 0;
+};
+
+Places CountPlaces(const Reservation& reservation,
+                   const FailureDomain& server_domain,
+                   const ReservedPlace& place) {
+  Places places;
+  places.index = place.position;
+  for (const auto& [domain, n] : reservation) {
+    if (domain == server_domain) {
+      places.inside = n;
+    } else {
+      places.outside += n;
+      if (place.domain != server_domain && domain < place.domain) {
+        places.index += n;
+      }
+    }
+  }
+  if (place.domain != server_domain) {
+    places.index += places.inside;
+  }
+  return places;
+}
+
+uint64_t InsidePart(uint64_t rest, const Places& places) {
+  if (places.inside == 0) {
+    return 0;
+  }
+  if (places.outside == 0) {
+    return rest;
+  }
+  const uint64_t weight = kInsideWeight * places.inside;
+  return std::max((2 * rest + 2) / 3,
+                  rest * weight / (weight + places.outside));
+}
+
+}  // namespace
+
+uint32_t ConnectionShare(uint32_t limit,
+                         const Reservation& reservation,
+                         const FailureDomain& server_domain,
+                         const ReservedPlace& place) {
+  auto it = reservation.find(place.domain);
+  if (it == reservation.end() || place.position >= it->second) {
+    return 0;
+  }
+  const Places places = CountPlaces(reservation, server_domain, place);
+  const uint64_t total = places.inside + places.outside;
+  if (limit <= total) {
+    return places.index < limit ? 1 : 0;
+  }
+  const uint64_t rest = limit - total;
+  const bool is_inside = places.index < places.inside;
+  const uint64_t inside_part = InsidePart(rest, places);
+  const uint64_t part = is_inside ? inside_part : rest - inside_part;
+  const uint64_t n = is_inside ? places.inside : places.outside;
+  const uint64_t index =
+      is_inside ? places.index : places.index - places.inside;
+  return static_cast<uint32_t>(1 + part / n + (index < part % n ? 1 : 0));
+}
+
+}  // namespace gooseberryrock::directory
--- a/libs/directory/src/directory.cc
+++ b/libs/directory/src/directory.cc
@@ -1,35 +1,164 @@
-// Changes and expiry of records.
+// Storage of records and their indices.
 
 #include "gooseberryrock/directory/directory.h"
 
+#include <string>
+
+#include "gooseberryrock/base/hash.h"
+
 namespace gooseberryrock::directory {
 
+namespace {
+
+void AppendNumber(std::string& buf, uint64_t value) {
+  for (int shift = 0; shift < 64; shift += 8) {
+    buf.push_back(static_cast<char>(value >> shift));
+  }
+}
+
+void AppendText(std::string& buf, const std::string& text) {
+  AppendNumber(buf, text.size());
+  buf += text;
+}
+
+void Unlink(Directory& directory, const DirectoryEntry& entry) {
+  const ServerRecord& record = entry.record;
+  const uint32_t leaf = DigestLeaf(record.id);
+  directory.changes.erase(entry.changed_at);
+  auto owned = directory.by_owner.find(record.owner);
+  owned->second.erase(record.id);
+  if (owned->second.empty()) {
+    directory.by_owner.erase(owned);
+  }
+  if (record.state != ServerState::kGone) {
+    directory.leaf_hashes[leaf] -= entry.hash;
+  }
+}
+
+void Link(Directory& directory, const DirectoryEntry& entry) {
+  const ServerRecord& record = entry.record;
+  const uint32_t leaf = DigestLeaf(record.id);
+  directory.changes[entry.changed_at] = record.id;
+  directory.by_owner[record.owner].insert(record.id);
+  directory.by_leaf[leaf].insert(record.id);
+  if (record.state != ServerState::kGone) {
+    directory.leaf_hashes[leaf] += entry.hash;
+  }
+}
+
+void Erase(Directory& directory, const BackendServerId& id) {
+  auto it = directory.entries.find(id);
+  Unlink(directory, it->second);
+  auto leaf = directory.by_leaf.find(DigestLeaf(id));
+  leaf->second.erase(id);
+  if (leaf->second.empty()) {
+    directory.by_leaf.erase(leaf);
+  }
+  directory.entries.erase(it);
+}
+
+// Forgets the server that went first, if it has not come back since. Returns
+// whether a record was removed.
+bool PopGone(Directory& directory) {
+  const auto [since, id] = std::move(directory.gone.front());
+  directory.gone.pop_front();
+  auto it = directory.entries.find(id);
+  // A server that came back and went again has a second place in the queue.
+  if (it == directory.entries.end() ||
+      it->second.record.state != ServerState::kGone ||
+      it->second.renewed_at != since) {
+    return false;
+  }
+  Erase(directory, id);
+  return true;
+}
+
+bool MakeRoom(Directory& directory) {
+  while (directory.entries.size() >= kMaxRecords && !directory.gone.empty()) {
+    PopGone(directory);
+  }
+  return directory.entries.size() < kMaxRecords;
+}
+
+}  // namespace
+
+uint32_t DigestLeaf(const BackendServerId& id) {
+  return static_cast<uint32_t>(Hash64(id.value) % kDigestLeaves);
+}
+
+uint64_t RecordHash(const ServerRecord& record) {
+  std::string buf;
+  AppendText(buf, record.id.value);
+  AppendNumber(buf, record.incarnation);
+  AppendNumber(buf, static_cast<uint64_t>(record.state));
+  AppendNumber(buf, record.sequence);
+  AppendText(buf, record.service.value);
+  AppendText(buf, record.failure_domain.value);
+  AppendText(buf, record.host);
+  AppendNumber(buf, record.port);
+  for (const auto& [key, value] : record.labels) {
+    AppendText(buf, key);
+    AppendText(buf, value);
+  }
+  AppendNumber(buf, record.replicas.size());
+  for (const ShardReplica& replica : record.replicas) {
+    AppendNumber(buf, replica.layout_version);
+    AppendText(buf, replica.shard.value);
+    AppendNumber(buf, replica.index_versions.size());
+    for (uint64_t version : replica.index_versions) {
+      AppendNumber(buf, version);
+    }
+  }
+  AppendNumber(buf, record.slots);
+  AppendNumber(buf, record.connection_limit);
+  AppendText(buf, record.owner.value);
+  AppendNumber(buf, record.owner_epoch);
+  return Hash64(buf);
+}
+
+bool StoreRecord(Directory& directory,
+                 ServerRecord record,
+                 const NodeId& learned_from,
+                 SteadyTime renewed_at,
+                 SteadyTime now) {
+  auto it = directory.entries.find(record.id);
+  if (it != directory.entries.end()) {
+    Unlink(directory, it->second);
+  } else if (!MakeRoom(directory)) {
+    ++directory.refused_full;
+    return false;
+  }
+  const bool is_gone = record.state == ServerState::kGone;
+  DirectoryEntry& entry = directory.entries[record.id];
+  entry.hash = RecordHash(record);
+  entry.record = std::move(record);
+  entry.changed_at = ++directory.change_count;
+  entry.learned_from = learned_from;
+  entry.renewed_at = is_gone ? now : renewed_at;
+  if (is_gone) {
+    directory.gone.emplace_back(now, entry.record.id);
+  }
+  Link(directory, entry);
+  return true;
+}
+
 std::vector<ServerRecord> ChangesSince(const Directory& directory,
                                        uint64_t since) {
   std::vector<ServerRecord> changes;
-  for (const auto& [id, entry] : directory.entries) {
-    if (entry.changed_at > since) {
-      changes.push_back(entry.record);
-    }
+  for (auto it = directory.changes.upper_bound(since);
+       it != directory.changes.end(); ++it) {
+    changes.push_back(directory.entries.at(it->second).record);
   }
   return changes;
 }
 
-std::vector<ServerRecord> ExpireServers(Directory& directory,
-                                        const NodeId& self,
-                                        Duration expiry,
-                                        SteadyTime now) {
-  std::vector<ServerRecord> expired;
-  for (auto& [id, entry] : directory.entries) {
-    ServerRecord& record = entry.record;
-    if (record.owner == self && record.state != ServerState::kGone &&
-        now - entry.renewed_at > expiry) {
-      record.state = ServerState::kGone;
-      entry.changed_at = ++directory.change_count;
-      expired.push_back(record);
-    }
+size_t RemoveGone(Directory& directory, SteadyTime now) {
+  size_t n = 0;
+  while (!directory.gone.empty() &&
+         now - directory.gone.front().first >= kGoneRetention) {
+    n += PopGone(directory) ? 1 : 0;
   }
-  return expired;
+  return n;
 }
 
 }  // namespace gooseberryrock::directory
--- a/libs/directory/src/merge_record.cc
+++ b/libs/directory/src/merge_record.cc
@@ -11,29 +11,36 @@
 
 namespace {
 
-void Store(Directory& directory, ServerRecord record, SteadyTime now) {
-  DirectoryEntry& entry = directory.entries[record.id];
-  entry.record = std::move(record);
-  entry.changed_at = ++directory.change_count;
-  entry.renewed_at = now;
+auto OrderKey(const ServerRecord& record) {
+  return std::tie(record.incarnation, record.state, record.sequence,
+                  record.owner_epoch, record.owner);
+}
+
+bool IsSameAnnouncement(const ServerRecord& a, const ServerRecord& b) {
+  return std::tie(a.incarnation, a.state, a.sequence) ==
+         std::tie(b.incarnation, b.state, b.sequence);
 }
 
 }  // namespace
 
 bool IsNewer(const ServerRecord& a, const ServerRecord& b) {
-  return std::tie(a.incarnation, a.state, a.sequence, a.owner_epoch) >
-         std::tie(b.incarnation, b.state, b.sequence, b.owner_epoch);
+  if (OrderKey(a) != OrderKey(b)) {
+    return OrderKey(a) > OrderKey(b);
+  }
+  return a != b && RecordHash(a) > RecordHash(b);
 }
 
 bool MergeRecord(Directory& directory,
                  const ServerRecord& record,
+                 const NodeId& from,
                  SteadyTime now) {
   auto it = directory.entries.find(record.id);
   if (it != directory.entries.end() && !IsNewer(record, it->second.record)) {
     return false;
   }
-  Store(directory, record, now);
-  return true;
+  // The expiry period counts only when this node is the owner, which has then
+  // forgotten the record in a restart.
+  return StoreRecord(directory, record, from, now + kRepairGrace, now);
 }
 
 bool AcceptAnnouncement(Directory& directory,
@@ -44,23 +51,36 @@
   auto it = directory.entries.find(record.id);
   if (it == directory.entries.end()) {
     record.owner_epoch = 1;
-    Store(directory, std::move(record), now);
-    return true;
+    return StoreRecord(directory, std::move(record), {}, now, now);
   }
   DirectoryEntry& entry = it->second;
-  record.owner_epoch = entry.record.owner_epoch;
-  if (entry.record.owner != self) {
-    ++record.owner_epoch;
+  const ServerRecord& known = entry.record;
+  if (known.owner == self && IsSameAnnouncement(record, known)) {
+    if (known.state != ServerState::kGone) {
+      entry.renewed_at = now;
+    }
+    return false;
   }
-  if (IsNewer(record, entry.record)) {
-    Store(directory, std::move(record), now);
-    return true;
+  record.owner_epoch = known.owner_epoch + (known.owner == self ? 0 : 1);
+  // A second announcement that the server has gone is no news.
+  if (!IsNewer(record, known) || (known.state == ServerState::kGone &&
+                                  record.incarnation == known.incarnation)) {
+    return false;
   }
-  // An older incarnation must not keep the record of a newer one alive.
-  if (record.incarnation == entry.record.incarnation) {
-    entry.renewed_at = now;
+  return StoreRecord(directory, std::move(record), {}, now, now);
+}
+
+bool NeedsNewIncarnation(const Directory& directory,
+                         const ServerRecord& announced) {
+  auto it = directory.entries.find(announced.id);
+  if (it == directory.entries.end()) {
+    return false;
   }
-  return false;
+  const ServerRecord& known = it->second.record;
+  return known.incarnation > announced.incarnation ||
+         (known.incarnation == announced.incarnation &&
+          known.state == ServerState::kGone &&
+          announced.state != ServerState::kGone);
 }
 
 }  // namespace gooseberryrock::directory
--- a/libs/node/src/directory_keeper.cc
+++ b/libs/node/src/directory_keeper.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "gooseberryrock/directory/merge_record.h"
+#include "gooseberryrock/directory/ownership.h"
 #include "gooseberryrock/node/query_engine.h"
 #include "gooseberryrock/node/service_views.h"
 
--- a/libs/proto/include/gooseberryrock/proto/convert_directory.h
+++ b/libs/proto/include/gooseberryrock/proto/convert_directory.h
@@ -3,25 +3,30 @@
 #ifndef GOOSEBERRYROCK_PROTO_CONVERT_DIRECTORY_H_
 #define GOOSEBERRYROCK_PROTO_CONVERT_DIRECTORY_H_
 
-#include <vector>
-
 namespace gooseberryrock::directory {
+struct DirectoryDelta;
+struct DirectoryDigest;
+struct DirectoryPull;
 struct ServerRecord;
 }  // namespace gooseberryrock::directory
 
 namespace gooseberryrock::proto {
 
 class DirectoryDelta;
+class DirectoryDigest;
+class DirectoryPull;
 class ServerRecord;
 
 ServerRecord ToMessage(const directory::ServerRecord& record);
+DirectoryDelta ToMessage(const directory::DirectoryDelta& delta);
+DirectoryDigest ToMessage(const directory::DirectoryDigest& digest);
+DirectoryPull ToMessage(const directory::DirectoryPull& pull);
 
-// Throws MalformedMessageError when a field of the announcement is out of
-// range, or the owner or its epoch is missing.
+// All throw MalformedMessageError when a field is missing or out of range.
 directory::ServerRecord FromMessage(const ServerRecord& message);
-
-// The records of `message`. Throws MalformedMessageError.
-std::vector<directory::ServerRecord> FromMessage(const DirectoryDelta& message);
+directory::DirectoryDelta FromMessage(const DirectoryDelta& message);
+directory::DirectoryDigest FromMessage(const DirectoryDigest& message);
+directory::DirectoryPull FromMessage(const DirectoryPull& message);
 
 }  // namespace gooseberryrock::proto
 
--- a/libs/proto/src/convert_directory.cc
+++ b/libs/proto/src/convert_directory.cc
@@ -6,6 +6,8 @@
 
 #include "backend.pb.h"
 #include "gooseberryrock/catalog/validate.h"
+#include "gooseberryrock/directory/directory.h"
+#include "gooseberryrock/directory/directory_exchange.h"
 #include "gooseberryrock/directory/server_record.h"
 #include "gooseberryrock/proto/convert_server_record.h"
 #include "gooseberryrock/proto/malformed_message_error.h"
@@ -58,14 +60,93 @@
   return record;
 }
 
-std::vector<directory::ServerRecord> FromMessage(
-    const DirectoryDelta& message) {
-  std::vector<directory::ServerRecord> records;
-  records.reserve(message.records_size());
+DirectoryDelta ToMessage(const directory::DirectoryDelta& delta) {
+  DirectoryDelta message;
+  message.set_from(delta.from);
+  message.set_to(delta.to);
+  for (const directory::ServerRecord& record : delta.records) {
+    *message.add_records() = ToMessage(record);
+  }
+  return message;
+}
+
+directory::DirectoryDelta FromMessage(const DirectoryDelta& message) {
+  if (message.from() > message.to()) {
+    throw MalformedMessageError("the span of a delta ends before it starts");
+  }
+  directory::DirectoryDelta delta{message.from(), message.to(), {}};
+  delta.records.reserve(message.records_size());
   for (const ServerRecord& record : message.records()) {
-    records.push_back(FromMessage(record));
+    delta.records.push_back(FromMessage(record));
+  }
+  return delta;
+}
+
+DirectoryDigest ToMessage(const directory::DirectoryDigest& digest) {
+  DirectoryDigest message;
+  message.set_root(digest.root);
+  message.mutable_group_hashes()->Add(digest.groups.begin(),
+                                      digest.groups.end());
+  for (const auto& [group, hashes] : digest.leaves) {
+    auto& it = *message.add_groups();
+    it.set_group(group);
+    it.mutable_leaf_hashes()->Add(hashes.begin(), hashes.end());
+  }
+  return message;
+}
+
+directory::DirectoryDigest FromMessage(const DirectoryDigest& message) {
+  const auto n = static_cast<size_t>(message.group_hashes_size());
+  if (n != 0 && n != directory::kDigestGroups) {
+    throw MalformedMessageError("a digest has a wrong number of groups");
+  }
+  directory::DirectoryDigest digest;
+  digest.root = message.root();
+  digest.groups.assign(message.group_hashes().begin(),
+                       message.group_hashes().end());
+  for (const auto& it : message.groups()) {
+    if (it.group() >= directory::kDigestGroups ||
+        static_cast<size_t>(it.leaf_hashes_size()) !=
+            directory::kLeavesPerGroup) {
+      throw MalformedMessageError("a digest group is out of range");
+    }
+    digest.leaves[it.group()].assign(it.leaf_hashes().begin(),
+                                     it.leaf_hashes().end());
+  }
+  return digest;
+}
+
+DirectoryPull ToMessage(const directory::DirectoryPull& pull) {
+  DirectoryPull message;
+  if (pull.since) {
+    message.set_since(*pull.since);
+  }
+  message.mutable_leaves()->Add(pull.leaves.begin(), pull.leaves.end());
+  for (const auto& [id, hash] : pull.known) {
+    auto& it = *message.add_known();
+    it.set_id(id.value);
+    it.set_hash(hash);
+  }
+  message.set_reply(pull.reply);
+  return message;
+}
+
+directory::DirectoryPull FromMessage(const DirectoryPull& message) {
+  directory::DirectoryPull pull;
+  if (message.has_since()) {
+    pull.since = message.since();
+  }
+  for (uint32_t leaf : message.leaves()) {
+    if (leaf >= directory::kDigestLeaves) {
+      throw MalformedMessageError("a digest leaf is out of range");
+    }
+    pull.leaves.insert(leaf);
+  }
+  for (const auto& it : message.known()) {
+    pull.known[{it.id()}] = it.hash();
   }
-  return records;
+  pull.reply = message.reply();
+  return pull;
 }
 
 }  // namespace gooseberryrock::proto
