--- a/libs/node/include/gooseberryrock/node/directory_keeper.h
+++ b/libs/node/include/gooseberryrock/node/directory_keeper.h
@@ -17,6 +17,7 @@
 #include "gooseberryrock/catalog/catalog.h"
 #include "gooseberryrock/directory/directory.h"
 #include "gooseberryrock/directory/directory_exchange.h"
+#include "gooseberryrock/directory/ownership.h"
 #include "gooseberryrock/directory/reservation_history.h"
 #include "gooseberryrock/node/cluster_view.h"
 #include "gooseberryrock/peer/frame_kind.h"
@@ -56,7 +57,8 @@
   // The change count in a heartbeat of `peer`.
   void OnHeartbeat(const NodeId& peer,
                    uint64_t incarnation,
-                   uint64_t change_count);
+                   uint64_t change_count,
+                   SteadyTime now);
   // The change count for a heartbeat to `peer`.
   uint64_t SentCount(const NodeId& peer) const;
 
@@ -95,6 +97,7 @@
   // Guarded by `mutex_`.
   directory::Directory directory_;
   directory::DirectoryExchange exchange_;
+  directory::DomainContacts contacts_;
   directory::ReservationHistory reservations_;
   catalog::Catalog catalog_;
   SteadyTime next_digest_;
--- a/libs/node/src/at_most_once.cc
+++ b/libs/node/src/at_most_once.cc
@@ -88,10 +88,15 @@
     return RefuseUnclaimed(request, query::AnswerReason::kNoQuorum);
   }
   const proto::ClaimReply& reply = result.reply.claim();
-  if (reply.status() != proto::CLAIM_GRANTED) {
-    return AnswerOf(request, reply);
+  // The call may have been made twice inside when a reply was lost; a token is
+  // used for one request only.
+  const bool own_claim = reply.status() == proto::CLAIM_ALREADY &&
+                         reply.holder() == self_.value &&
+                         reply.holder_incarnation() == token;
+  if (reply.status() == proto::CLAIM_GRANTED || own_claim) {
+    return Run(request, token);
   }
-  return Run(request, token);
+  return AnswerOf(request, reply);
 }
 
 query::Answer AtMostOnceExecutor::Run(const query::QueryRequest& request,
--- a/libs/node/src/control_client.cc
+++ b/libs/node/src/control_client.cc
@@ -196,9 +196,8 @@
   return reply;
 }
 
-void ControlClient::RunLocally(
-    const proto::ForwardRequest& request,
-    std::function<void(proto::ForwardReply)> done) {
+void ControlClient::RunLocally(const proto::ForwardRequest& request,
+                               std::function<void(proto::ForwardReply)> done) {
   const uint64_t id = request.correlation_id();
   auto finish = [id, done = std::move(done)](proto::ForwardReply reply) {
     reply.set_correlation_id(id);
--- a/libs/node/src/directory_keeper.cc
+++ b/libs/node/src/directory_keeper.cc
@@ -92,8 +92,8 @@
     const auto delta =
         proto::FromMessage(Parse<proto::DirectoryDelta>(frame.body));
     Publish(directory::MergeDelta(directory_, delta, from, now));
-    if (auto pull = directory::OnChangeSpan(
-            exchange_, from, frame.incarnation, delta.from, delta.to)) {
+    if (auto pull = directory::OnChangeSpan(exchange_, from, frame.incarnation,
+                                            delta.from, delta.to)) {
       SendPull(from, *pull);
     }
   } else if (frame.kind == peer::FrameKind::kDirectoryDigest) {
@@ -122,8 +122,13 @@
 
 void DirectoryKeeper::OnHeartbeat(const NodeId& peer,
                                   uint64_t incarnation,
-                                  uint64_t change_count) {
+                                  uint64_t change_count,
+                                  SteadyTime now) {
   std::lock_guard lock(mutex_);
+  auto node = options_.nodes.find(peer);
+  if (node != options_.nodes.end()) {
+    directory::OnContact(contacts_, node->second, place_.domain, now);
+  }
   if (auto pull = directory::OnChangeSpan(exchange_, peer, incarnation,
                                           change_count, change_count)) {
     SendPull(peer, *pull);
@@ -153,22 +158,19 @@
 std::vector<directory::ServerRecord> DirectoryKeeper::ExpireAndAdopt(
     const ClusterView::PeerMap& peers,
     SteadyTime now) {
-  directory::DomainContacts contacts;
   directory::NodeDomains live;
   directory::NodeDomains lost;
-  contacts[place_.domain] = now;
   live[options_.self] = place_.domain;
   for (const auto& [node, peer] : peers) {
     (IsLive(peer, now) ? live : lost)[node] = peer.failure_domain;
-    if (peer.heard_at) {
-      SteadyTime& contact = contacts[peer.failure_domain];
-      contact = std::max(contact, *peer.heard_at);
-    }
   }
-  auto changed = directory::ExpireServers(directory_, options_.self, contacts,
-                                          kExpiry, now);
-  auto adopted = directory::AdoptOrphans(directory_, live, lost, options_.self,
-                                         now);
+  auto changed =
+      peers.empty()
+          ? directory::ExpireServers(directory_, options_.self, kExpiry, now)
+          : directory::ExpireServers(directory_, options_.self, contacts_,
+                                     kExpiry, now);
+  auto adopted =
+      directory::AdoptOrphans(directory_, live, lost, options_.self, now);
   std::move(adopted.begin(), adopted.end(), std::back_inserter(changed));
   return changed;
 }
--- a/libs/node/src/drain_gate.cc
+++ b/libs/node/src/drain_gate.cc
@@ -42,9 +42,8 @@
 void DrainGate::WaitBeforeRefusing(Duration wait) {
   std::unique_lock lock(mutex_);
   const SteadyTime until = std::chrono::steady_clock::now() + wait;
-  changed_.wait_until(lock, until, [&] {
-    return std::chrono::steady_clock::now() >= until;
-  });
+  changed_.wait_until(
+      lock, until, [&] { return std::chrono::steady_clock::now() >= until; });
 }
 
 void DrainGate::RefuseNew() {
--- a/libs/node/src/frame_dispatcher.cc
+++ b/libs/node/src/frame_dispatcher.cc
@@ -24,9 +24,8 @@
   try {
     it->second(frame);
   } catch (const proto::MalformedMessageError& e) {
-    telemetry::LogEvent(
-        telemetry::LogLevel::kWarning, "frame_body_refused",
-        {{"sender", frame.sender.value}, {"error", e.what()}});
+    telemetry::LogEvent(telemetry::LogLevel::kWarning, "frame_body_refused",
+                        {{"sender", frame.sender.value}, {"error", e.what()}});
   }
 }
 
--- a/libs/node/src/http_api.cc
+++ b/libs/node/src/http_api.cc
@@ -40,9 +40,8 @@
 // A refusal before anything was done for the request.
 query::Answer Refuse(const query::QueryRequest& request,
                      query::AnswerReason reason) {
-  query::Answer answer = request.idempotent
-                             ? query::NotRun(reason)
-                             : RefuseUnclaimed(request, reason);
+  query::Answer answer = request.idempotent ? query::NotRun(reason)
+                                            : RefuseUnclaimed(request, reason);
   answer.retry_after = kFullRetryAfter;
   return answer;
 }
@@ -140,8 +139,8 @@
   proto::AnnouncementReply reply;
   try {
     proto::FromJson(request.body, message, /*ignore_unknown=*/true);
-    reply.set_new_incarnation_needed(parts_.directory->OnAnnouncement(
-        proto::FromMessage(message), Now()));
+    reply.set_new_incarnation_needed(
+        parts_.directory->OnAnnouncement(proto::FromMessage(message), Now()));
   } catch (const proto::MalformedMessageError& e) {
     return ErrorReply(400, "malformed_message", e.what());
   }
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -196,9 +196,8 @@
     operator_api.emplace(ApiParts());
     RegisterHandlers();
     http_api.emplace(HttpParts());
-    server.emplace(ServerOptions(settings), [this](const auto& it) {
-      return http_api->Handle(it);
-    });
+    server.emplace(ServerOptions(settings),
+                   [this](const auto& it) { return http_api->Handle(it); });
   }
 
   // Parts that other threads call are stopped before what they use.
@@ -283,9 +282,9 @@
     const auto to_loop = [this](const peer::PeerFrame& it) {
       peer_loop->OnFrame(it);
     };
-    for (FrameKind kind : {FrameKind::kDirectoryDelta,
-                           FrameKind::kDirectoryDigest,
-                           FrameKind::kDirectoryPull}) {
+    for (FrameKind kind :
+         {FrameKind::kDirectoryDelta, FrameKind::kDirectoryDigest,
+          FrameKind::kDirectoryPull}) {
       dispatcher.Register(kind, to_directory);
     }
     for (FrameKind kind : {FrameKind::kPeerHeartbeat, FrameKind::kCatalogPoll,
@@ -293,10 +292,9 @@
       dispatcher.Register(kind, to_loop);
     }
     if (log) {
-      dispatcher.Register(FrameKind::kConsensus,
-                          [this](const peer::PeerFrame& it) {
-                            log->OnMessage(it.body);
-                          });
+      dispatcher.Register(
+          FrameKind::kConsensus,
+          [this](const peer::PeerFrame& it) { log->OnMessage(it.body); });
     }
     dispatcher.Register(FrameKind::kForwardRequest,
                         [this](const peer::PeerFrame& it) {
--- a/libs/node/src/operator_api.cc
+++ b/libs/node/src/operator_api.cc
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <utility>
 
+#include "gooseberryrock/catalog/command.h"
 #include "gooseberryrock/directory/server_record.h"
 #include "gooseberryrock/http/http_request.h"
 #include "gooseberryrock/node/caller_api.h"
@@ -47,8 +48,8 @@
 bool IsEqualSecret(std::string_view a, std::string_view b) {
   unsigned difference = a.size() == b.size() ? 0 : 1;
   for (size_t i = 0; i < std::min(a.size(), b.size()); ++i) {
-    difference |= static_cast<unsigned char>(a[i]) ^
-                  static_cast<unsigned char>(b[i]);
+    difference |=
+        static_cast<unsigned char>(a[i]) ^ static_cast<unsigned char>(b[i]);
   }
   return difference == 0;
 }
--- a/libs/node/src/peer_loop.cc
+++ b/libs/node/src/peer_loop.cc
@@ -143,10 +143,11 @@
 
 void PeerLoop::OnHeartbeat(const peer::PeerFrame& frame) {
   const auto message = Parse<proto::PeerHeartbeat>(frame.body);
+  const SteadyTime now = Now();
   parts_.cluster->OnHeartbeat(frame.sender, message.catalog_version(),
-                              message.leaving(), Now());
+                              message.leaving(), now);
   parts_.directory->OnHeartbeat(frame.sender, frame.incarnation,
-                                message.change_count());
+                                message.change_count(), now);
 }
 
 void PeerLoop::OnCatalogPoll(const peer::PeerFrame& frame) {
@@ -171,11 +172,11 @@
   const auto has_answered = [this](const NodeId& node) {
     return answered_.contains(node);
   };
-  has_catalog_ = has_catalog_ ||
-                 (std::all_of(parts_.control_peers.begin(),
-                              parts_.control_peers.end(), has_answered) &&
-                  std::all_of(parts_.domain_peers.begin(),
-                              parts_.domain_peers.end(), has_answered));
+  has_catalog_ =
+      has_catalog_ || (std::all_of(parts_.control_peers.begin(),
+                                   parts_.control_peers.end(), has_answered) &&
+                       std::all_of(parts_.domain_peers.begin(),
+                                   parts_.domain_peers.end(), has_answered));
 }
 
 }  // namespace gooseberryrock::node
--- a/libs/node/src/replicated_log.cc
+++ b/libs/node/src/replicated_log.cc
@@ -137,10 +137,10 @@
   }
 
   void Start() {
-    const auto initial = options.initial_members.empty()
-                             ? consensus::Membership()
-                             : consensus::InitialMembership(
-                                   options.initial_members);
+    const auto initial =
+        options.initial_members.empty()
+            ? consensus::Membership()
+            : consensus::InitialMembership(options.initial_members);
     consensus::StoredState stored = store.Load(initial);
     if (stored.snapshot.last.index > 0) {
       machine.restore(stored.snapshot.data);
@@ -234,8 +234,8 @@
 
   void Handle(MessageEvent& event) {
     try {
-      CarryOut(consensus::HandleMessage(
-          state, DecodeMessage(event.body), Now(), random));
+      CarryOut(consensus::HandleMessage(state, DecodeMessage(event.body), Now(),
+                                        random));
     } catch (const proto::MalformedMessageError& e) {
       telemetry::LogEvent(telemetry::LogLevel::kWarning,
                           "consensus_message_refused", {{"error", e.what()}});
@@ -344,8 +344,9 @@
   }
 
   void FailStorage(const storage::StorageError& error) {
-    telemetry::LogEvent(telemetry::LogLevel::kError, "storage_failed",
-                        {{"node", options.self.value}, {"error", error.what()}});
+    telemetry::LogEvent(
+        telemetry::LogLevel::kError, "storage_failed",
+        {{"node", options.self.value}, {"error", error.what()}});
     storage_failed = true;
     AnswerAllOpen();
   }
--- a/libs/query/src/answer.cc
+++ b/libs/query/src/answer.cc
@@ -77,8 +77,7 @@
 }
 
 std::optional<AnswerStatus> ParseAnswerStatus(std::string_view name) {
-  return ParseName<AnswerStatus>(name, AnswerStatus::kFailed,
-                                 AnswerStatusName);
+  return ParseName<AnswerStatus>(name, AnswerStatus::kFailed, AnswerStatusName);
 }
 
 std::optional<AnswerReason> ParseAnswerReason(std::string_view name) {
--- a/libs/settings/src/check_settings.cc
+++ b/libs/settings/src/check_settings.cc
@@ -311,12 +311,12 @@
 }
 
 void ReadSettings(const JsonObject& root, SettingsReport& report) {
-  CheckKeys(root, {"cluster", "node", "failure_domain", "region",
-                   "http_address", "peer_address", "data_folder", "peers",
-                   "cluster_key", "cluster_key_file", "operator_token",
-                   "operator_token_file", "http_threads", "query_shards",
-                   "io_shards", "drain_wait_ms", "log_level", "max_in_flight",
-                   "join_existing_log"});
+  CheckKeys(root,
+            {"cluster", "node", "failure_domain", "region", "http_address",
+             "peer_address", "data_folder", "peers", "cluster_key",
+             "cluster_key_file", "operator_token", "operator_token_file",
+             "http_threads", "query_shards", "io_shards", "drain_wait_ms",
+             "log_level", "max_in_flight", "join_existing_log"});
   Settings& settings = report.settings;
   settings.cluster = ReadName(root, "cluster", Presence::kRequired);
   settings.node.value = ReadName(root, "node", Presence::kRequired);
