query: admission, latency estimates, server statistics, connection health

Cause: the node had no admission, no tail estimate and no view of silent connections, and routing trusted nothing but a moving mean. Ruled out: load reports of servers in the routing cost, because they are stale or false; a hedge after p95, because fault-free hedges then use up the whole budget of 5% and a straggler finds none left.

--- a/libs/node/src/query_engine.cc
+++ b/libs/node/src/query_engine.cc
@@ -193,8 +193,9 @@
                        const QueryShard::Work& work,
                        const query::AttemptToSend& attempt) {
   const auto candidates = Candidates(servers_, *work.view, attempt);
-  const auto chosen = query::ChooseServer(
-      candidates, attempt.excluded, query::RoutingPolicy(), ThreadRandom());
+  const auto chosen =
+      query::ChooseServer(candidates, attempt.excluded, query::RoutingPolicy(),
+                          ThreadRandom(), std::chrono::steady_clock::now());
   if (!chosen) {
     shards_[shard]->OnAttemptFailed(attempt.id,
                                     query::AttemptFailure::kNotSent);
--- a/libs/query/include/gooseberryrock/query/routing.h
+++ b/libs/query/include/gooseberryrock/query/routing.h
@@ -23,14 +23,18 @@
 };
 
 // Expected time until `view` has answered one more subquery.
-Duration ExpectedTime(const ServerView& view, const RoutingPolicy& policy);
+Duration ExpectedTime(const ServerView& view,
+                      const RoutingPolicy& policy,
+                      SteadyTime now);
 
 // Draws two of `candidates` that are not in `excluded` and returns the index of
-// the one with the lower expected time. Nothing when there is no candidate.
+// the one with the lower expected time. Servers that are to be avoided are
+// drawn only when there is no other. Nothing when there is no candidate.
 std::optional<size_t> ChooseServer(std::span<const ServerView> candidates,
                                    std::span<const BackendServerId> excluded,
                                    const RoutingPolicy& policy,
-                                   std::mt19937_64& random);
+                                   std::mt19937_64& random,
+                                   SteadyTime now);
 
 }  // namespace gooseberryrock::query
 
--- a/libs/query/include/gooseberryrock/query/server_view.h
+++ b/libs/query/include/gooseberryrock/query/server_view.h
@@ -1,4 +1,5 @@
-// What routing knows of one replica of a shard.
+// What routing knows of one replica of a shard. All estimates come from this
+// node's own attempts: load reports of servers may be old or false.
 
 #ifndef GOOSEBERRYROCK_QUERY_SERVER_VIEW_H_
 #define GOOSEBERRYROCK_QUERY_SERVER_VIEW_H_
@@ -16,12 +17,18 @@
   uint32_t slots = 1;
   // Attempts of this node that the server has not answered.
   uint32_t outstanding = 0;
-  // Queue length from the server's last reply.
-  uint32_t reported_queue = 0;
-  // Moving estimate of the time that the server needs for one subquery.
+  // Moving estimate of the time from sending a subquery to its reply.
   Duration service_time = Duration::zero();
   // Moving share of failed attempts, in [0, 1].
   double failure_rate = 0;
+  // Attempts that failed since the last reply.
+  uint32_t failures_in_a_row = 0;
+  // The server gets no attempt before this time while another replica can.
+  SteadyTime avoid_until;
+  // When the last attempt ended, or when one was sent to the idle server.
+  SteadyTime last_heard;
+  // Attempts in flight that a cold server is trusted with, at least 1.
+  double window = 1;
 };
 
 }  // namespace gooseberryrock::query
--- a/libs/query/include/gooseberryrock/query/subquery_reply.h
+++ b/libs/query/include/gooseberryrock/query/subquery_reply.h
@@ -40,12 +40,16 @@
   // The connection was lost, or the reply was truncated or malformed. The
   // request may have run.
   kConnectionLost,
+  // The connection stopped responding and may be replaced. The request may have
+  // run. Its retry needs no budget: the rate of replacements limits it.
+  kConnectionSilent,
 };
 
 // Whether an attempt that failed with `failure` may have run.
 constexpr bool MayHaveRun(AttemptFailure failure) {
   return failure == AttemptFailure::kServerError ||
-         failure == AttemptFailure::kConnectionLost;
+         failure == AttemptFailure::kConnectionLost ||
+         failure == AttemptFailure::kConnectionSilent;
 }
 
 }  // namespace gooseberryrock::query
--- /dev/null
+++ b/libs/query/src/admission.cc
@@ -0,0 +1,211 @@
+// Which queries of one service start on this node, wait or are refused.
+
+#include "gooseberryrock/query/admission.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace gooseberryrock::query {
+
+namespace {
+
+constexpr double kHoldWeight = 0.05;
+// Starts lose half of their weight in this time: long enough to hold several
+// starts of the smallest floor, short enough to follow a burst.
+constexpr Duration kStartsHalfLife = std::chrono::seconds(1);
+constexpr Duration kShortestRetryAfter = std::chrono::milliseconds(20);
+constexpr Duration kLongestRetryAfter = std::chrono::seconds(5);
+constexpr double kMinServedShare = 0.02;
+
+double Seconds(Duration time) {
+  return std::chrono::duration<double>(time).count();
+}
+
+Duration FromSeconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+uint32_t RunningInAll(const AdmissionState& state) {
+  return std::accumulate(state.running.begin(), state.running.end(), 0U);
+}
+
+double StartsInAll(const AdmissionState& state) {
+  return std::accumulate(state.starts.begin(), state.starts.end(), 0.0);
+}
+
+void DecayStarts(AdmissionState& state, SteadyTime now) {
+  const double factor =
+      std::exp2(-Seconds(now - state.decayed_at) / Seconds(kStartsHalfLife));
+  for (double& starts : state.starts) {
+    starts *= factor;
+  }
+  state.decayed_at = now;
+}
+
+double Limit(const AdmissionPolicy& policy, size_t rank) {
+  return std::max(1.0, policy.slots * policy.fill[rank]);
+}
+
+bool IsBelowFloor(const AdmissionState& state,
+                  const AdmissionPolicy& policy,
+                  size_t rank) {
+  return state.starts[rank] < policy.floors[rank] * StartsInAll(state);
+}
+
+bool MayStart(const AdmissionState& state,
+              const AdmissionPolicy& policy,
+              size_t rank) {
+  // A rank below its floor may use every slot; otherwise the fill limit of a
+  // less urgent rank would starve it while more urgent work fills the rest.
+  const double limit = IsBelowFloor(state, policy, rank)
+                           ? std::max(1.0, policy.slots)
+                           : Limit(policy, rank);
+  return RunningInAll(state) + 1 <= std::lround(limit);
+}
+
+void Start(AdmissionState& state, size_t rank) {
+  ++state.running[rank];
+  state.starts[rank] += 1;
+}
+
+// The rank is served after more urgent work from what that leaves, or from its
+// floor, whichever is sooner.
+Duration EstimateWait(const AdmissionState& state,
+                      const AdmissionPolicy& policy,
+                      size_t rank) {
+  const double in_all = StartsInAll(state);
+  double more_urgent = 0;
+  double ahead = 1;
+  for (size_t i = 0; i < rank; ++i) {
+    more_urgent += state.starts[i];
+    ahead += static_cast<double>(state.queues[i].size());
+  }
+  const double own = static_cast<double>(state.queues[rank].size());
+  const double left = in_all > 0 ? 1 - more_urgent / in_all : 1;
+  const double rate = Limit(policy, rank) / Seconds(state.mean_hold);
+  const double floor_rate =
+      std::max(1.0, policy.slots) / Seconds(state.mean_hold);
+  const double after_urgent =
+      (ahead + own) / (rate * std::max(left, kMinServedShare));
+  const double from_floor =
+      (1 + own) / (floor_rate * std::max(policy.floors[rank], kMinServedShare));
+  return FromSeconds(std::min(after_urgent, from_floor));
+}
+
+Duration RetryAfter(Duration wait) {
+  return std::clamp(wait, kShortestRetryAfter, kLongestRetryAfter);
+}
+
+// The next rank to start: first the ranks below their floor, then the most
+// urgent one.
+std::optional<size_t> NextRank(const AdmissionState& state,
+                               const AdmissionPolicy& policy) {
+  std::optional<size_t> most_urgent;
+  for (size_t i = 0; i < kRankCount; ++i) {
+    if (state.queues[i].empty() || !MayStart(state, policy, i)) {
+      continue;
+    }
+    if (IsBelowFloor(state, policy, i)) {
+      return i;
+    }
+    if (!most_urgent) {
+      most_urgent = i;
+    }
+  }
+  return most_urgent;
+}
+
+void RefuseLate(AdmissionState& state,
+                const AdmissionPolicy& policy,
+                SteadyTime now,
+                AdmissionEffects& effects) {
+  for (size_t i = 0; i < kRankCount; ++i) {
+    auto& queue = state.queues[i];
+    while (!queue.empty() && queue.begin()->first <= now) {
+      effects.refuse.push_back(
+          {queue.begin()->second, RetryAfter(EstimateWait(state, policy, i))});
+      queue.erase(queue.begin());
+    }
+  }
+}
+
+void Advance(AdmissionState& state,
+             const AdmissionPolicy& policy,
+             SteadyTime now,
+             AdmissionEffects& effects) {
+  DecayStarts(state, now);
+  RefuseLate(state, policy, now, effects);
+  while (const auto rank = NextRank(state, policy)) {
+    auto& queue = state.queues[*rank];
+    effects.start.push_back(queue.begin()->second);
+    queue.erase(queue.begin());
+    Start(state, *rank);
+  }
+  for (const auto& queue : state.queues) {
+    if (!queue.empty() &&
+        (!effects.next_timer || queue.begin()->first < *effects.next_timer)) {
+      effects.next_timer = queue.begin()->first;
+    }
+  }
+}
+
+}  // namespace
+
+AdmissionEffects OnQueryArrived(AdmissionState& state,
+                                const AdmissionPolicy& policy,
+                                Rank rank,
+                                AdmissionTicket ticket,
+                                SteadyTime deadline,
+                                SteadyTime now) {
+  AdmissionEffects effects;
+  const size_t i = RankIndex(rank);
+  const SteadyTime latest_start = deadline - policy.expected[i];
+  DecayStarts(state, now);
+  const bool free = state.queues[i].empty() && MayStart(state, policy, i);
+  const Duration wait =
+      free ? Duration::zero() : EstimateWait(state, policy, i);
+  if (now + wait > latest_start) {
+    effects.refuse.push_back({ticket, RetryAfter(wait)});
+  } else {
+    state.queues[i].emplace(latest_start, ticket);
+  }
+  Advance(state, policy, now, effects);
+  return effects;
+}
+
+AdmissionEffects OnQueryEnded(AdmissionState& state,
+                              const AdmissionPolicy& policy,
+                              Rank rank,
+                              Duration held,
+                              SteadyTime now) {
+  AdmissionEffects effects;
+  --state.running[RankIndex(rank)];
+  state.mean_hold += std::chrono::duration_cast<Duration>(
+      kHoldWeight * (held - state.mean_hold));
+  state.mean_hold =
+      std::max<Duration>(state.mean_hold, std::chrono::microseconds(100));
+  Advance(state, policy, now, effects);
+  return effects;
+}
+
+AdmissionEffects OnAdmissionTimer(AdmissionState& state,
+                                  const AdmissionPolicy& policy,
+                                  SteadyTime now) {
+  AdmissionEffects effects;
+  Advance(state, policy, now, effects);
+  return effects;
+}
+
+double AdmissionSlots(uint32_t server_slots,
+                      uint32_t nodes,
+                      double hold_ratio) {
+  // Keeps the servers busy between two queries of one node.
+  constexpr double kHeadroom = 1.3;
+  const double share = static_cast<double>(server_slots) /
+                       static_cast<double>(std::max(nodes, 1U));
+  return std::max(1.0, share * std::clamp(hold_ratio, 1.0, 4.0) * kHeadroom);
+}
+
+}  // namespace gooseberryrock::query
--- a/libs/query/src/build_answer.cc
+++ b/libs/query/src/build_answer.cc
@@ -21,6 +21,7 @@
     case AttemptFailure::kServerError:
       return AnswerReason::kBackendServerError;
     case AttemptFailure::kConnectionLost:
+    case AttemptFailure::kConnectionSilent:
       return AnswerReason::kConnectionLost;
   }
   return AnswerReason::kNone;
--- a/libs/query/src/query_machine.cc
+++ b/libs/query/src/query_machine.cc
@@ -229,7 +229,7 @@
       shard.snapshot_lost || failure == AttemptFailure::kNoSnapshot;
   const bool in_time = now < AnswerTime(state);
   if (routed && in_time && MayRetry(state, shard, failure) &&
-      SpendBudget(budget)) {
+      (failure == AttemptFailure::kConnectionSilent || SpendBudget(budget))) {
     effects.send.push_back(OpenAttempt(state, shard_index, ids));
     return effects;
   }
--- /dev/null
+++ b/libs/query/src/service_estimates.cc
@@ -0,0 +1,113 @@
+// What a node has measured of one service.
+
+#include "gooseberryrock/query/service_estimates.h"
+
+#include <algorithm>
+
+#include "gooseberryrock/catalog/service_definition.h"
+#include "gooseberryrock/query/connection_health.h"
+
+namespace gooseberryrock::query {
+
+namespace {
+
+constexpr double kMeanWeight = 0.02;
+// Above p95, where fault-free hedges alone would use up the budget of 5% of the
+// attempts and leave nothing for a straggler.
+constexpr double kHedgeQuantile = 0.98;
+constexpr double kSilenceQuantile = 0.99;
+// The quantiles walk all bins of the histograms, which costs microseconds, and
+// change little within this time.
+constexpr Duration kRefreshPeriod = std::chrono::milliseconds(20);
+constexpr Duration kShortestHedgeDelay = std::chrono::milliseconds(2);
+// A query with less time left than most queries need is not started.
+constexpr double kExpectedQuantile = 0.9;
+
+void UpdateMean(Duration& mean, Duration sample) {
+  if (mean == Duration::zero()) {
+    mean = sample;
+    return;
+  }
+  mean += std::chrono::duration_cast<Duration>(kMeanWeight * (sample - mean));
+}
+
+double HoldRatio(const ServiceEstimates& estimates) {
+  if (estimates.mean_subquery <= Duration::zero()) {
+    return 1;
+  }
+  const std::chrono::duration<double> query = estimates.mean_query;
+  const std::chrono::duration<double> subquery = estimates.mean_subquery;
+  return query / subquery;
+}
+
+QueryPolicy MakeQueryPolicy(const catalog::ServiceDefinition& service,
+                            const ServiceEstimates& estimates,
+                            Rank rank) {
+  const size_t i = RankIndex(rank);
+  const catalog::RankPolicy& rank_policy = service.rank_policies[i];
+  QueryPolicy policy;
+  if (rank_policy.hedging) {
+    if (const auto tail =
+            LatencyQuantile(estimates.subquery[i], kHedgeQuantile)) {
+      policy.hedge_delay = std::max(*tail, kShortestHedgeDelay);
+    }
+  }
+  if (!rank_policy.prefer_coverage) {
+    policy.settle_after = rank_policy.target_latency;
+  }
+  return policy;
+}
+
+AdmissionPolicy MakeAdmissionPolicy(const catalog::ServiceDefinition& service,
+                                    const ServiceEstimates& estimates,
+                                    uint32_t server_slots,
+                                    uint32_t nodes) {
+  AdmissionPolicy policy;
+  policy.slots = AdmissionSlots(server_slots, nodes, HoldRatio(estimates));
+  for (size_t i = 0; i < kRankCount; ++i) {
+    policy.floors[i] = service.rank_policies[i].floor_share;
+    policy.expected[i] = LatencyQuantile(estimates.query[i], kExpectedQuantile)
+                             .value_or(Duration::zero());
+  }
+  return policy;
+}
+
+}  // namespace
+
+void RecordSubqueryTime(ServiceEstimates& estimates,
+                        Rank rank,
+                        Duration elapsed,
+                        SteadyTime now) {
+  RecordLatency(estimates.subquery[RankIndex(rank)], elapsed, now);
+  UpdateMean(estimates.mean_subquery, elapsed);
+}
+
+void RecordQueryTime(ServiceEstimates& estimates,
+                     Rank rank,
+                     Duration elapsed,
+                     SteadyTime now) {
+  RecordLatency(estimates.query[RankIndex(rank)], elapsed, now);
+  UpdateMean(estimates.mean_query, elapsed);
+}
+
+void RefreshPolicies(ServicePolicies& policies,
+                     const catalog::ServiceDefinition& service,
+                     const ServiceEstimates& estimates,
+                     uint32_t server_slots,
+                     uint32_t nodes,
+                     SteadyTime now) {
+  if (policies.refreshed_at && now - *policies.refreshed_at < kRefreshPeriod) {
+    return;
+  }
+  policies.refreshed_at = now;
+  policies.admission =
+      MakeAdmissionPolicy(service, estimates, server_slots, nodes);
+  for (const Rank rank : kAllRanks) {
+    const size_t i = RankIndex(rank);
+    policies.query[i] = MakeQueryPolicy(service, estimates, rank);
+    policies.silence[i] = SilenceTime(
+        {}, LatencyQuantile(estimates.subquery[i], kSilenceQuantile));
+  }
+}
+
+}  // namespace gooseberryrock::query
