node: refuse binary headers and untimed request ids of callers

Cause: tests of bad input found that a query text or header that is not UTF-8 reached the error reply, where protobuf wrote a raw line to standard error and the reply was not valid JSON. A non-idempotent request id without a time would only fail later, at its claim. A request that can never succeed (id reused or expired, query that crashes backend servers) was answered with 503, which clients take as a reason to send it again.

Ruled out: escaping the bytes in the reply (callers could not match their request id).

Change: header values must be printable ASCII (invalid_header); error messages replace other bytes; a non-idempotent request id has the form <unix milliseconds>-<random> (invalid_request_id); 409 and 422 for requests that can never succeed.

--- a/libs/node/src/caller_api.cc
+++ b/libs/node/src/caller_api.cc
@@ -2,6 +2,7 @@
 
 #include "gooseberryrock/node/caller_api.h"
 
+#include <algorithm>
 #include <charconv>
 #include <optional>
 #include <string>
@@ -23,6 +24,10 @@
 constexpr size_t kMaxTextBytes = size_t{16} * 1024;
 constexpr int64_t kMaxDeadlineMs = 60000;
 
+bool IsPrintable(char c) {
+  return c >= ' ' && c <= '~';
+}
+
 // Reads the headers and the body of one query and keeps the first error.
 class QueryParser {
  public:
@@ -69,6 +74,12 @@
       }
       return "";
     }
+    // Header values appear in replies, which are UTF-8.
+    if (!std::all_of(it->second.begin(), it->second.end(), IsPrintable)) {
+      Fail("invalid_header",
+           "header " + name + " must consist of printable ASCII characters");
+      return "";
+    }
     if (it->second.size() > kMaxHeaderBytes) {
       Fail("header_too_long", "header " + name + " is longer than 256 bytes");
       return "";
@@ -107,6 +118,20 @@
       Fail("missing_routing_key",
            "a request that is not idempotent needs gbr-routing-key");
     }
+    if (!query_.idempotent && !HasTime(query_.id.value)) {
+      Fail("invalid_request_id",
+           "the gbr-request-id of a request that is not idempotent must have "
+           "the form <unix milliseconds>-<random>");
+    }
+  }
+
+  // Claims expire by the time in the request id.
+  static bool HasTime(const std::string& id) {
+    int64_t ms = 0;
+    const char* end = id.data() + id.size();
+    const auto result = std::from_chars(id.data(), end, ms);
+    return result.ec == std::errc() && ms >= 0 && end - result.ptr >= 2 &&
+           *result.ptr == '-';
   }
 
   void ParseBody() {
@@ -133,13 +158,29 @@
   std::optional<http::HttpReply> error_;
 };
 
+// 503 says that the same request may succeed later, which clients and proxies
+// take as a reason to send it again; the others do not.
+int HttpStatusOfNotRun(query::AnswerReason reason) {
+  switch (reason) {
+    case query::AnswerReason::kUnknownService:
+      return 404;
+    case query::AnswerReason::kRequestIdExpired:
+    case query::AnswerReason::kRequestIdReused:
+      return 409;
+    case query::AnswerReason::kCrashesBackendServers:
+      return 422;
+    default:
+      return 503;
+  }
+}
+
 int HttpStatus(const query::Answer& answer) {
   switch (answer.status) {
     case query::AnswerStatus::kComplete:
     case query::AnswerStatus::kPartial:
       return 200;
     case query::AnswerStatus::kNotRun:
-      return answer.reason == query::AnswerReason::kUnknownService ? 404 : 503;
+      return HttpStatusOfNotRun(answer.reason);
     case query::AnswerStatus::kOutcomeUnknown:
       return 504;
     case query::AnswerStatus::kFailed:
@@ -167,7 +208,11 @@
                            std::string_view message) {
   proto::ErrorReply reply;
   reply.set_error(std::string(error));
-  reply.set_message(std::string(message));
+  // Messages may quote input that is not UTF-8, which protobuf cannot encode.
+  std::string& text = *reply.mutable_message();
+  text = message;
+  std::replace_if(
+      text.begin(), text.end(), [](char c) { return !IsPrintable(c); }, '?');
   return {status, "application/json", proto::ToJson(reply)};
 }
 
