ctl: gbrctl, the operators' command line

Cause: operators had to write JSON and command ids by hand, and a timeout looked like a failure.

Ruled out: cxxtools::net::TcpSocket for the check whether a node can be reached (its header does not compile as C++20; Boost.Asio does the same); resending a membership change to other nodes (it has no command id).

Change: a subcommand for each operator call and a caller's test query. A command has its id and expected version printed before it is sent, goes to the next node with the same id when one cannot be reached or does not reply, and is reported as "outcome unknown" with the command to resend, also when a later node refuses it. Stable exit codes 0 to 10. Definitions may have comments.

--- /dev/null
+++ b/apps/ctl/ctl_options.h
@@ -0,0 +1,32 @@
+// The arguments that all subcommands of gbrctl share.
+
+#ifndef GOOSEBERRYROCK_APPS_CTL_CTL_OPTIONS_H_
+#define GOOSEBERRYROCK_APPS_CTL_CTL_OPTIONS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gooseberryrock/base/time.h"
+
+namespace gooseberryrock::ctl {
+
+struct CtlOptions {
+  // "host:port" of the nodes, tried in this order.
+  std::vector<std::string> nodes;
+  std::string token_file;
+  bool json = false;
+  // For one call to one node.
+  Duration timeout = std::chrono::seconds(5);
+  // Empty: a new one is generated.
+  std::string command_id;
+  // Nothing: the current version is read first.
+  std::optional<uint64_t> expected_version;
+  // The command line, for the text that tells how to resend a command.
+  std::vector<std::string> arguments;
+};
+
+}  // namespace gooseberryrock::ctl
+
+#endif  // GOOSEBERRYROCK_APPS_CTL_CTL_OPTIONS_H_
--- /dev/null
+++ b/apps/ctl/query_command.h
@@ -0,0 +1,35 @@
+// A caller's test query.
+
+#ifndef GOOSEBERRYROCK_APPS_CTL_QUERY_COMMAND_H_
+#define GOOSEBERRYROCK_APPS_CTL_QUERY_COMMAND_H_
+
+#include <cstdint>
+#include <string>
+
+#include "exit_code.h"
+
+namespace gooseberryrock::ctl {
+
+struct CtlOptions;
+
+struct QueryArguments {
+  std::string service;
+  std::string text;
+  std::string rank = "normal";
+  std::string tenant;
+  std::string routing_key;
+  // Empty: a new one is generated.
+  std::string request_id;
+  bool non_idempotent = false;
+  // 0 stands for the service's limit.
+  uint32_t row_limit = 0;
+};
+
+// Sends the query with the timeout of `options` as its deadline and prints the
+// answer. A request with the same id runs at most once if it is not idempotent,
+// so the other nodes are tried in any case.
+ExitCode Query(const CtlOptions& options, const QueryArguments& arguments);
+
+}  // namespace gooseberryrock::ctl
+
+#endif  // GOOSEBERRYROCK_APPS_CTL_QUERY_COMMAND_H_
--- /dev/null
+++ b/tests/ctl/ctl_transcript.cc
@@ -0,0 +1,116 @@
+// Runs the commands of a transcript and compares their output.
+
+#include "ctl_transcript.h"
+
+#include <gtest/gtest.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+#include <regex>
+#include <sstream>
+#include <string>
+
+namespace gooseberryrock::ctl {
+
+namespace {
+
+namespace fs = std::filesystem;
+
+std::string ReadAll(const fs::path& path) {
+  std::ifstream in(path);
+  return {std::istreambuf_iterator<char>(in), {}};
+}
+
+void ReplaceAll(std::string& text,
+                const std::string& from,
+                const std::string& to) {
+  for (size_t at = text.find(from); at != std::string::npos;
+       at = text.find(from, at + to.size())) {
+    text.replace(at, from.size(), to);
+  }
+}
+
+// A folder with the example settings and their secrets.
+fs::path MakeWorkFolder() {
+  fs::path folder = fs::path(testing::TempDir()) /
+                    ("ctl_test_" + std::to_string(static_cast<long>(getpid())));
+  fs::create_directories(folder);
+  fs::copy(fs::path(GOOSEBERRYROCK_SOURCE_DIR) / "config", folder / "config",
+           fs::copy_options::recursive);
+  std::ofstream(folder / "config/salon/cluster.key") << std::string(32, 'k');
+  std::ofstream(folder / "config/salon/operator.token")
+      << "operator-token-of-the-test\n";
+  for (const char* name : {"cluster.key", "operator.token"}) {
+    fs::permissions(folder / "config/salon" / name,
+                    fs::perms::owner_read | fs::perms::owner_write);
+  }
+  return folder;
+}
+
+// Standard output and error of `command`, and its exit code unless it is 0.
+std::string Run(const std::string& command,
+                const fs::path& folder,
+                const std::string& address) {
+  std::string line = command;
+  ReplaceAll(line, "127.0.0.1:8080", address);
+  const std::string script =
+      "cd '" + folder.string() +
+      "' && export PATH='" GOOSEBERRYROCK_PROGRAM_FOLDER
+      "':\"$PATH\" GBR_NODE=" +
+      address + " GBR_OPERATOR_TOKEN=operator-token-of-the-test && { " + line +
+      "\n} >output 2>&1";
+  const int status = std::system(script.c_str());
+  std::string output = ReadAll(folder / "output");
+  ReplaceAll(output, address, "127.0.0.1:8080");
+  output = std::regex_replace(output, std::regex("[0-9]{13}-[0-9a-f]{16}"),
+                              "1764842400000-0123456789abcdef");
+  if (WEXITSTATUS(status) != 0) {
+    output += "[exit code " + std::to_string(WEXITSTATUS(status)) + "]\n";
+  }
+  return output;
+}
+
+// `text` with the output of each command replaced by the actual one.
+std::string RunAll(const std::string& text,
+                   bool is_page,
+                   const fs::path& folder,
+                   const std::string& address) {
+  std::string actual;
+  bool in_block = !is_page;
+  bool in_output = false;
+  std::istringstream lines(text);
+  for (std::string line; std::getline(lines, line);) {
+    if (is_page && line.starts_with("```")) {
+      in_block = line == "```console";
+      in_output = false;
+    }
+    if (in_block && line.starts_with("$ ")) {
+      in_output = true;
+      actual += line + "\n" + Run(line.substr(2), folder, address);
+    } else if (!in_output) {
+      actual += line + "\n";
+    }
+  }
+  return actual;
+}
+
+}  // namespace
+
+void ExpectTranscript(const fs::path& file, uint16_t port) {
+  const fs::path folder = MakeWorkFolder();
+  const std::string text = ReadAll(file);
+  EXPECT_NE(text.find("$ gbr"), std::string::npos) << "no command in " << file;
+  const std::string actual = RunAll(text, file.extension() == ".md", folder,
+                                    "127.0.0.1:" + std::to_string(port));
+  fs::remove_all(folder);
+  if (std::getenv("GBR_UPDATE_EXPECTED") != nullptr) {
+    std::ofstream(file) << actual;
+    return;
+  }
+  EXPECT_EQ(actual, text) << file;
+}
+
+}  // namespace gooseberryrock::ctl
