--- a/libs/http/src/http_server.cc
+++ b/libs/http/src/http_server.cc
@@ -95,7 +95,9 @@
     it.body_too_large = body_too_large_;
     try {
       return service_.handler()(it);
-    } catch (const std::exception&) {
+    } catch (...) {
+      // An exception that leaves the responder ends the worker's connection
+      // without a reply, or the worker.
       return {500, "application/json",
               R"({"error":"internal","message":"the request failed"})"};
     }
--- /dev/null
+++ b/tests/http/backend_fault_test.cc
@@ -0,0 +1,163 @@
+// Calls over a backend channel to servers that close, cut or stop.
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <chrono>
+#include <future>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "gooseberryrock/http/backend_channel.h"
+#include "raw_socket.h"
+
+namespace gooseberryrock::http {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kCallTime = std::chrono::seconds(2);
+
+// A channel with one server, called with one call at a time.
+class OneServerChannel {
+ public:
+  explicit OneServerChannel(uint16_t port, uint32_t max_connections = 4)
+      : channel_(
+            [this](BackendResult it) { result_.set_value(std::move(it)); }) {
+    channel_.SetEndpoint({"s"}, {"127.0.0.1", port, max_connections});
+  }
+
+  BackendResult Call(bool at_most_once = false, Duration time = kCallTime) {
+    result_ = {};
+    auto future = result_.get_future();
+    channel_.Send({++attempt_,
+                   {"s"},
+                   "/x",
+                   "hello",
+                   std::chrono::steady_clock::now() + time,
+                   at_most_once});
+    return future.get();
+  }
+
+ private:
+  std::promise<BackendResult> result_;
+  uint64_t attempt_ = 0;
+  BackendChannel channel_;
+};
+
+// Counts the requests, replies to the first and closes after reading any other.
+struct ClosingScript {
+  std::atomic<int>& requests;
+  int replies;
+
+  void operator()(RawSocket& socket, size_t /*number*/) const {
+    while (!socket.ReadRequest().empty()) {
+      if (++requests > replies) {
+        return;
+      }
+      socket.Send(OkReply("ok"));
+    }
+  }
+};
+
+// Guards against a resend by the HTTP client that no one learns of: the
+// executions at the servers would not match the attempts.
+TEST(BackendFaultTest, ReportsResendOnReusedConnection) {
+  std::atomic<int> requests = 0;
+  RawServer server([&](RawSocket& socket, size_t number) {
+    while (!socket.ReadRequest().empty()) {
+      // The second request of the first connection is read and not answered.
+      if (++requests == 2 && number == 0) {
+        return;
+      }
+      socket.Send(OkReply("ok"));
+    }
+  });
+  OneServerChannel channel(server.port());
+  EXPECT_EQ(channel.Call().times_sent, 1U);
+  const BackendResult second = channel.Call();
+  EXPECT_EQ(second.kind, BackendResultKind::kReply);
+  EXPECT_EQ(second.times_sent, 2U);
+  EXPECT_EQ(requests, 3);
+}
+
+// Guards against a booking that reaches a server twice.
+TEST(BackendFaultTest, AtMostOnceCallIsSentOnceAndLost) {
+  std::atomic<int> requests = 0;
+  RawServer server(ClosingScript{requests, 0});
+  OneServerChannel channel(server.port());
+  const BackendResult result = channel.Call(/*at_most_once=*/true);
+  EXPECT_EQ(result.kind, BackendResultKind::kLost);
+  EXPECT_EQ(result.times_sent, 1U);
+  std::this_thread::sleep_for(milliseconds(300));
+  EXPECT_EQ(requests, 1);
+}
+
+// Guards against a booking on an idle kept-alive connection, where the HTTP
+// client resends on its own, also when the connection limit is reached.
+TEST(BackendFaultTest, AtMostOnceCallDoesNotReuseIdleConnection) {
+  std::atomic<int> requests = 0;
+  RawServer server(ClosingScript{requests, 1});
+  OneServerChannel channel(server.port(), /*max_connections=*/1);
+  EXPECT_EQ(channel.Call().kind, BackendResultKind::kReply);
+  EXPECT_EQ(channel.Call(/*at_most_once=*/true).kind, BackendResultKind::kLost);
+  std::this_thread::sleep_for(milliseconds(300));
+  EXPECT_EQ(requests, 2);
+  EXPECT_EQ(server.connections(), 2U);
+}
+
+// Guards against a cut reply that is taken for a whole one. A chunked body
+// whose last chunk is missing must not be a reply either.
+TEST(BackendFaultTest, CutRepliesAreLost) {
+  const std::string chunked_header =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::vector<std::string> replies = {
+      "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n{\"half\":",
+      chunked_header + "14\r\n{\"half\":",
+      chunked_header + "8\r\n{\"half\":\r\n", "HTTP/1.1 200 OK\r\nContent-Le",
+      "HTTP/1.1 200"};
+  for (const std::string& reply : replies) {
+    SCOPED_TRACE(reply);
+    RawServer server([&](RawSocket& socket, size_t /*number*/) {
+      socket.ReadRequest();
+      socket.Send(reply);
+    });
+    OneServerChannel channel(server.port());
+    EXPECT_EQ(channel.Call(/*at_most_once=*/true).kind,
+              BackendResultKind::kLost);
+  }
+}
+
+// Guards against bytes that are not HTTP being taken for a reply.
+TEST(BackendFaultTest, GarbageReplyIsLost) {
+  RawServer server([](RawSocket& socket, size_t /*number*/) {
+    socket.ReadRequest();
+    socket.Send(std::string("\0\xff garbage\r\n\r\n", 14));
+  });
+  OneServerChannel channel(server.port());
+  EXPECT_EQ(channel.Call(/*at_most_once=*/true).kind, BackendResultKind::kLost);
+}
+
+// Guards against a silent server that keeps a connection of the limit for ever.
+TEST(BackendFaultTest, CallPastDeadlineIsLostAndFreesItsConnection) {
+  RawServer server([](RawSocket& socket, size_t number) {
+    while (!socket.ReadRequest().empty()) {
+      if (number > 0) {
+        socket.Send(OkReply("ok"));
+      }
+    }
+  });
+  OneServerChannel channel(server.port(), /*max_connections=*/1);
+  const BackendResult silent =
+      channel.Call(/*at_most_once=*/false, milliseconds(100));
+  EXPECT_EQ(silent.kind, BackendResultKind::kLost);
+  EXPECT_GE(silent.elapsed, milliseconds(95));
+  EXPECT_LT(silent.elapsed, milliseconds(300));
+  EXPECT_EQ(channel.Call().kind, BackendResultKind::kReply);
+}
+
+}  // namespace
+}  // namespace gooseberryrock::http
--- /dev/null
+++ b/tests/http/raw_socket.h
@@ -0,0 +1,86 @@
+// Plain TCP ends for tests that need a peer which misbehaves.
+
+#ifndef GOOSEBERRYROCK_TESTS_HTTP_RAW_SOCKET_H_
+#define GOOSEBERRYROCK_TESTS_HTTP_RAW_SOCKET_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+#include "gooseberryrock/base/time.h"
+
+namespace gooseberryrock::http {
+
+// A port on 127.0.0.1 that was free a moment ago.
+uint16_t FreePort();
+
+// One end of a TCP connection; closed by the destructor.
+class RawSocket {
+ public:
+  explicit RawSocket(int fd) : fd_(fd) {}
+  RawSocket(const RawSocket&) = delete;
+  RawSocket& operator=(const RawSocket&) = delete;
+  ~RawSocket();
+
+  // Returns false when the peer has closed the connection.
+  bool Send(std::string_view text);
+  // Reads until the text read contains `end` and returns it; less when the peer
+  // closes or `timeout` passes first.
+  std::string ReadUntil(std::string_view end, Duration timeout);
+  // Reads a request with a Content-Length; empty when the peer closes.
+  std::string ReadRequest();
+  int fd() const { return fd_; }
+
+ private:
+  bool ReadSome(std::string& text, SteadyTime until);
+
+  const int fd_;
+};
+
+// The descriptor of a connection to 127.0.0.1. The test fails when there is
+// none.
+int Connect(uint16_t port);
+
+// Listens on a free port and runs a function on a thread for each connection.
+// The connection is closed when the function returns.
+class RawServer {
+ public:
+  // Gets the connection and its number, counted from 0.
+  using Script = std::function<void(RawSocket&, size_t)>;
+
+  explicit RawServer(Script script);
+  RawServer(const RawServer&) = delete;
+  RawServer& operator=(const RawServer&) = delete;
+  // Shuts all connections down and waits for the functions.
+  ~RawServer();
+
+  uint16_t port() const { return port_; }
+  size_t connections() const;
+
+ private:
+  void Run();
+
+  const Script script_;
+  int listener_ = -1;
+  uint16_t port_ = 0;
+  mutable std::mutex mutex_;
+  // Guarded by `mutex_`.
+  std::vector<int> fds_;
+  bool stopping_ = false;
+  // Used by `thread_` only, and after it has ended.
+  std::list<std::thread> workers_;
+  std::thread thread_;
+};
+
+// A reply with status 200 that keeps the connection open.
+std::string OkReply(std::string_view body);
+
+}  // namespace gooseberryrock::http
+
+#endif  // GOOSEBERRYROCK_TESTS_HTTP_RAW_SOCKET_H_
