--- /dev/null
+++ b/tests/claims/crash_suspects_test.cc
@@ -0,0 +1,119 @@
+// Rules for queries that may crash backend servers.
+
+#include "gooseberryrock/claims/crash_suspects.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace gooseberryrock::claims {
+namespace {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+const SteadyTime kNow{std::chrono::hours(1)};
+const NodeId kA{"a"};
+const NodeId kB{"b"};
+constexpr Fingerprint kQuery = 7;
+
+CrashedServer Server(int n) {
+  return {{"server-" + std::to_string(n)}, 1};
+}
+
+FingerprintDecision Check(const CrashSuspects& state, SteadyTime now = kNow) {
+  return CheckFingerprint(state, kQuery, now);
+}
+
+TEST(CrashSuspectsTest, SecondCrashAloneIsRefusedForTenMinutes) {
+  CrashSuspects state;
+  EXPECT_EQ(Check(state), FingerprintDecision::kRun);
+  RecordCrash(state, kQuery, Server(1), {}, kNow);
+  EXPECT_EQ(Check(state), FingerprintDecision::kRunAlone);
+  StartAlone(state, kQuery, kA, kNow);
+  EXPECT_EQ(Check(state), FingerprintDecision::kBusy);
+  EXPECT_EQ(Check(state, kNow + kRunAloneTimeout),
+            FingerprintDecision::kRunAlone);
+  RecordCrash(state, kQuery, Server(2), {}, kNow);
+  EXPECT_EQ(Check(state, kNow + minutes(10)), FingerprintDecision::kRefuse);
+  EXPECT_TRUE(RecordSuccess(state, kQuery).empty());
+  EXPECT_EQ(Check(state, kNow + minutes(10) + seconds(1)),
+            FingerprintDecision::kRun);
+}
+
+// Guards against queries that are refused for long because another one crashed
+// servers that they were on, also when that one came from another node.
+TEST(CrashSuspectsTest, SharedCrashesAreLessSuspect) {
+  CrashSuspects state;
+  RecordCrash(state, kQuery, Server(1), {}, kNow);
+  RecordCrash(state, kQuery, Server(2), {}, kNow);
+  EXPECT_EQ(Check(state), FingerprintDecision::kRefuse);
+  for (int n : {1, 2}) {
+    CrashSuspects other;
+    RecordCrash(other, kQuery + n, Server(n), {}, kNow);
+    MergeSuspicion(state, DescribeSuspicion(other, kQuery + n, kNow), kB, kNow);
+  }
+  EXPECT_EQ(Check(state), FingerprintDecision::kRunAlone);
+  EXPECT_EQ(RecordSuccess(state, kQuery).size(), 2U);
+  EXPECT_EQ(Check(state), FingerprintDecision::kRun);
+}
+
+// Guards against a lost failure domain that condemns all searches in flight.
+TEST(CrashSuspectsTest, FirstRunOfFanOutCountsOnce) {
+  CrashSuspects state;
+  for (int n = 0; n < 100; ++n) {
+    RecordCrash(state, kQuery, Server(n), {false, true}, kNow);
+  }
+  EXPECT_EQ(Check(state), FingerprintDecision::kRunAlone);
+  EXPECT_EQ(state.suspects.at(kQuery).crashes.size(), kMaxCrashes);
+  RecordCrash(state, kQuery, Server(200), {}, kNow);
+  EXPECT_EQ(Check(state), FingerprintDecision::kRefuse);
+}
+
+// Guards against nodes that each run a suspect query, and against a success
+// that withdraws a crash that came later.
+TEST(CrashSuspectsTest, NodesShareRunsAndCrashes) {
+  CrashSuspects a;
+  CrashSuspects b;
+  RecordCrash(a, kQuery, Server(1), {true, false}, kNow);
+  StartAlone(a, kQuery, kA, kNow);
+  MergeSuspicion(b, DescribeSuspicion(a, kQuery, kNow), kA, kNow);
+  EXPECT_EQ(Check(b), FingerprintDecision::kBusy);
+  RecordCrash(b, kQuery, Server(2), {true, false}, kNow);
+  Suspicion cleared{kQuery, RecordSuccess(a, kQuery), true, {}, {}};
+  MergeSuspicion(b, cleared, kA, kNow);
+  EXPECT_EQ(Check(b), FingerprintDecision::kRunAlone);
+  EXPECT_TRUE(b.suspects.at(kQuery).crashes.contains(Server(2)));
+}
+
+// Guards against a lost connection that leaves a query suspect although the
+// server is alive.
+TEST(CrashSuspectsTest, LostConnectionWithoutCrashIsForgotten) {
+  CrashSuspects a;
+  CrashSuspects b;
+  StartAlone(a, kQuery, kA, kNow);
+  MergeSuspicion(b, DescribeSuspicion(a, kQuery, kNow), kA, kNow);
+  EXPECT_EQ(Check(b), FingerprintDecision::kBusy);
+  EndAlone(a, kQuery, kA);
+  MergeSuspicion(b, DescribeSuspicion(a, kQuery, kNow), kA, kNow);
+  EXPECT_EQ(Check(a), FingerprintDecision::kRun);
+  EXPECT_TRUE(b.suspects.empty());
+}
+
+// Guards against memory without bound, and against a flood of suspects that
+// frees a refused query.
+TEST(CrashSuspectsTest, NumberOfSuspectsIsBounded) {
+  CrashSuspects state;
+  RecordCrash(state, kQuery, Server(1), {}, kNow);
+  RecordCrash(state, kQuery, Server(2), {}, kNow);
+  for (Fingerprint n = 100; n < 100 + 2 * kMaxSuspects; ++n) {
+    StartAlone(state, n, kA, kNow + seconds(1));
+  }
+  EXPECT_EQ(state.suspects.size(), kMaxSuspects);
+  EXPECT_EQ(Check(state), FingerprintDecision::kRefuse);
+  RemoveExpired(state, kNow + minutes(11));
+  EXPECT_TRUE(state.suspects.empty());
+}
+
+}  // namespace
+}  // namespace gooseberryrock::claims
