--- a/libs/node/include/gooseberryrock/node/at_most_once.h
+++ b/libs/node/include/gooseberryrock/node/at_most_once.h
@@ -11,6 +11,10 @@
 #include "gooseberryrock/base/ids.h"
 #include "gooseberryrock/query/answer.h"
 
+namespace gooseberryrock::claims {
+struct ClaimHolder;
+}  // namespace gooseberryrock::claims
+
 namespace gooseberryrock::query {
 struct QueryRequest;
 }  // namespace gooseberryrock::query
@@ -39,18 +43,20 @@
   query::Answer Execute(const query::QueryRequest& request);
 
  private:
-  query::Answer Run(const query::QueryRequest& request, uint64_t token);
+  query::Answer Run(const query::QueryRequest& request,
+                    const claims::ClaimHolder& holder);
   void RecordOutcome(const query::QueryRequest& request,
-                     uint64_t token,
+                     const claims::ClaimHolder& holder,
                      const query::Answer& answer);
-  void Release(const query::QueryRequest& request, uint64_t token);
+  void Release(const query::QueryRequest& request,
+               const claims::ClaimHolder& holder);
 
   const NodeId self_;
+  const uint64_t incarnation_;
   ControlClient& control_;
   QueryEngine& engine_;
-  // Tells the claims of one node apart. Starts at a value that no earlier
-  // incarnation of the node has reached.
-  std::atomic<uint64_t> next_token_;
+  // Tells the claims of this incarnation of the node apart.
+  std::atomic<uint64_t> next_attempt_ = 1;
 };
 
 }  // namespace gooseberryrock::node
--- a/libs/node/src/at_most_once.cc
+++ b/libs/node/src/at_most_once.cc
@@ -10,6 +10,7 @@
 #include "gooseberryrock/node/control_client.h"
 #include "gooseberryrock/node/query_engine.h"
 #include "gooseberryrock/proto/convert_answer.h"
+#include "gooseberryrock/proto/convert_claims.h"
 #include "gooseberryrock/query/query_request.h"
 
 namespace gooseberryrock::node {
@@ -70,66 +71,56 @@
                                        ControlClient& control,
                                        QueryEngine& engine)
     : self_(std::move(self)),
+      incarnation_(incarnation),
       control_(control),
-      engine_(engine),
-      next_token_(incarnation) {}
+      engine_(engine) {}
 
 query::Answer AtMostOnceExecutor::Execute(const query::QueryRequest& request) {
-  const uint64_t token = next_token_++;
+  const claims::ClaimHolder holder = {self_, incarnation_, next_attempt_++};
   proto::ForwardRequest call;
-  proto::ClaimRequest& claim = *call.mutable_claim();
-  claim.set_request_id(request.id.value);
-  claim.set_content_hash(ContentHash(request));
-  claim.set_node(self_.value);
-  claim.set_node_incarnation(token);
+  *call.mutable_claim() = proto::ToMessage(
+      claims::ClaimEntry{request.id, ContentHash(request), holder, {}});
   const Duration left = request.deadline - Now();
   const CallResult result = control_.Call(std::move(call), left / kClaimShare);
   if (result.status != CallStatus::kDone) {
     return RefuseUnclaimed(request, query::AnswerReason::kNoQuorum);
   }
   const proto::ClaimReply& reply = result.reply.claim();
-  // The call may have been made twice inside when a reply was lost; a token is
-  // used for one request only.
+  // The call may have been made twice inside when a reply was lost.
   const bool own_claim = reply.status() == proto::CLAIM_ALREADY &&
-                         reply.holder() == self_.value &&
-                         reply.holder_incarnation() == token;
+                         proto::FromMessage(reply).holder == holder;
   if (reply.status() == proto::CLAIM_GRANTED || own_claim) {
-    return Run(request, token);
+    return Run(request, holder);
   }
   return AnswerOf(request, reply);
 }
 
 query::Answer AtMostOnceExecutor::Run(const query::QueryRequest& request,
-                                      uint64_t token) {
+                                      const claims::ClaimHolder& holder) {
   query::Answer answer = engine_.Execute(request);
   if (answer.status == query::AnswerStatus::kNotRun) {
-    Release(request, token);
+    Release(request, holder);
   } else if (answer.status != query::AnswerStatus::kOutcomeUnknown) {
-    RecordOutcome(request, token, answer);
+    RecordOutcome(request, holder, answer);
   }
   return answer;
 }
 
 void AtMostOnceExecutor::RecordOutcome(const query::QueryRequest& request,
-                                       uint64_t token,
+                                       const claims::ClaimHolder& holder,
                                        const query::Answer& answer) {
   proto::ForwardRequest call;
-  proto::OutcomeRequest& outcome = *call.mutable_outcome();
-  outcome.set_request_id(request.id.value);
-  outcome.set_node(self_.value);
-  outcome.set_node_incarnation(token);
-  outcome.set_outcome(proto::EncodeAnswer(answer));
+  *call.mutable_outcome() = proto::ToMessage(claims::OutcomeEntry{
+      request.id, holder, proto::EncodeAnswer(answer), {}});
   control_.Call(std::move(call),
                 std::min<Duration>(kRecordTimeout, request.deadline - Now()));
 }
 
 void AtMostOnceExecutor::Release(const query::QueryRequest& request,
-                                 uint64_t token) {
+                                 const claims::ClaimHolder& holder) {
   proto::ForwardRequest call;
-  proto::ReleaseRequest& release = *call.mutable_release();
-  release.set_request_id(request.id.value);
-  release.set_node(self_.value);
-  release.set_node_incarnation(token);
+  *call.mutable_release() =
+      proto::ToMessage(claims::ReleaseEntry{request.id, holder, {}});
   control_.Call(std::move(call),
                 std::min<Duration>(kRecordTimeout, request.deadline - Now()));
 }
--- a/libs/node/src/control_machine.cc
+++ b/libs/node/src/control_machine.cc
@@ -9,6 +9,7 @@
 #include "gooseberryrock/catalog/apply_command.h"
 #include "gooseberryrock/catalog/command.h"
 #include "gooseberryrock/proto/convert_catalog.h"
+#include "gooseberryrock/proto/convert_claims.h"
 #include "gooseberryrock/proto/malformed_message_error.h"
 #include "peer.pb.h"
 
@@ -27,82 +28,28 @@
           .count());
 }
 
-proto::ClaimStatus ToMessage(claims::ClaimStatus status) {
-  switch (status) {
-    case claims::ClaimStatus::kGranted:
-      return proto::CLAIM_GRANTED;
-    case claims::ClaimStatus::kAlreadyClaimed:
-      return proto::CLAIM_ALREADY;
-    case claims::ClaimStatus::kIdReused:
-      return proto::CLAIM_ID_REUSED;
-    case claims::ClaimStatus::kIdExpired:
-      return proto::CLAIM_ID_EXPIRED;
-    case claims::ClaimStatus::kIdMalformed:
-      return proto::CLAIM_ID_MALFORMED;
-    case claims::ClaimStatus::kTooManyClaims:
-      return proto::CLAIM_OVERLOADED;
-  }
-  return proto::CLAIM_STATUS_UNSPECIFIED;
-}
-
-proto::RecordStatus ToMessage(claims::RecordStatus status) {
-  switch (status) {
-    case claims::RecordStatus::kDone:
-      return proto::RECORD_DONE;
-    case claims::RecordStatus::kNoClaim:
-      return proto::RECORD_NO_CLAIM;
-    case claims::RecordStatus::kNotHolder:
-      return proto::RECORD_NOT_HOLDER;
-    case claims::RecordStatus::kHasOutcome:
-      return proto::RECORD_HAS_OUTCOME;
-    case claims::RecordStatus::kTooLarge:
-      return proto::RECORD_TOO_LARGE;
-  }
-  return proto::RECORD_STATUS_UNSPECIFIED;
-}
-
-template <typename Message>
-claims::ClaimHolder HolderOf(const Message& message) {
-  return {{message.node()}, message.node_incarnation()};
-}
-
 proto::ClaimReply Apply(ControlState& state,
                         const proto::ClaimRequest& request,
                         WallTime leader_time) {
-  const auto result = claims::ApplyClaim(state.claims, {{request.request_id()},
-                                                        request.content_hash(),
-                                                        HolderOf(request),
-                                                        leader_time});
-  proto::ClaimReply reply;
-  reply.set_status(ToMessage(result.status));
-  reply.set_holder(result.holder.node.value);
-  reply.set_holder_incarnation(result.holder.incarnation);
-  if (result.outcome) {
-    reply.set_has_outcome(true);
-    reply.set_outcome(*result.outcome);
-  }
-  return reply;
+  claims::ClaimEntry entry = proto::FromMessage(request);
+  entry.leader_time = leader_time;
+  return proto::ToMessage(claims::ApplyClaim(state.claims, entry));
 }
 
 proto::RecordReply Apply(ControlState& state,
                          const proto::OutcomeRequest& request,
                          WallTime leader_time) {
-  proto::RecordReply reply;
-  reply.set_status(
-      ToMessage(claims::ApplyOutcome(state.claims, {{request.request_id()},
-                                                    HolderOf(request),
-                                                    request.outcome(),
-                                                    leader_time})));
-  return reply;
+  claims::OutcomeEntry entry = proto::FromMessage(request);
+  entry.leader_time = leader_time;
+  return proto::ToMessage(claims::ApplyOutcome(state.claims, entry));
 }
 
 proto::RecordReply Apply(ControlState& state,
                          const proto::ReleaseRequest& request,
                          WallTime leader_time) {
-  proto::RecordReply reply;
-  reply.set_status(ToMessage(claims::ApplyRelease(
-      state.claims, {{request.request_id()}, HolderOf(request), leader_time})));
-  return reply;
+  claims::ReleaseEntry entry = proto::FromMessage(request);
+  entry.leader_time = leader_time;
+  return proto::ToMessage(claims::ApplyRelease(state.claims, entry));
 }
 
 proto::CommandReply Apply(ControlState& state,
@@ -159,10 +106,10 @@
     auto& message = *snapshot.add_claims();
     message.set_request_id(id.value);
     message.set_content_hash(claim.content_hash);
-    message.set_node(claim.holder.node.value);
-    message.set_node_incarnation(claim.holder.incarnation);
+    message.mutable_holder()->set_node(claim.holder.node.value);
+    message.mutable_holder()->set_incarnation(claim.holder.incarnation);
+    message.mutable_holder()->set_attempt(claim.holder.attempt);
     if (claim.outcome) {
-      message.set_has_outcome(true);
       message.set_outcome(*claim.outcome);
     }
   }
@@ -171,7 +118,9 @@
 claims::Claim FromMessage(const proto::RememberedClaim& message) {
   claims::Claim claim;
   claim.content_hash = message.content_hash();
-  claim.holder = HolderOf(message);
+  claim.holder = {{message.holder().node()},
+                  message.holder().incarnation(),
+                  message.holder().attempt()};
   if (message.has_outcome()) {
     claim.outcome = message.outcome();
   }
