consensus: a rolled back VM learns of it from vote messages

The fault matrix found that a rolled back VM and a lagging one could elect a leader without committed entries while the third VM, which knew better, was refused by the vote pause after a start.

--- a/libs/consensus/include/gooseberryrock/consensus/message.h
+++ b/libs/consensus/include/gooseberryrock/consensus/message.h
@@ -23,6 +23,9 @@
   bool leadership_transfer = false;
   Position last;
   Acknowledgement acknowledged;
+  // What the sender knows the receiver to have acknowledged. A VM whose disk
+  // was rolled back learns of it from this before it votes.
+  Acknowledgement known;
 
   auto operator<=>(const VoteRequest&) const = default;
 };
@@ -33,6 +36,8 @@
   // The term that the request asked for.
   uint64_t requested_term = 0;
   Acknowledgement acknowledged;
+  // As in VoteRequest.
+  Acknowledgement known;
 
   auto operator<=>(const VoteReply&) const = default;
 };
--- a/libs/consensus/src/election.cc
+++ b/libs/consensus/src/election.cc
@@ -28,10 +28,11 @@
 }
 
 std::vector<Message> VoteRequests(const ConsensusState& state,
-                                  const VoteRequest& request) {
+                                  VoteRequest request) {
   std::vector<Message> messages;
   for (const auto& [node, member] : state.membership.members) {
     if (node != state.self && member.voter) {
+      request.known = KnownAcknowledged(state, member.storage_id);
       messages.push_back(MakeMessage(state, node, request));
     }
   }
@@ -126,16 +127,14 @@
 bool IsRolledBack(const ConsensusState& state,
                   const Message& message,
                   const Acknowledgement& reported) {
-  auto it = state.known_acknowledged.find(message.from_storage_id);
-  return it != state.known_acknowledged.end() && reported < it->second;
+  return reported < KnownAcknowledged(state, message.from_storage_id);
 }
 
 void ReportRolledBack(const ConsensusState& state,
                       const Message& message,
                       uint64_t election_term,
                       Effects& effects) {
-  if (state.known_acknowledged.at(message.from_storage_id).term <
-      election_term) {
+  if (KnownAcknowledged(state, message.from_storage_id).term < election_term) {
     effects.refused.push_back(
         {message.from, message.from_storage_id, /*rolled_back=*/true});
   }
@@ -190,6 +189,8 @@
   reply.pre_vote = request.pre_vote;
   reply.requested_term = message.term;
   reply.acknowledged = state.hard_state.acknowledged;
+  reply.known = KnownAcknowledged(state, message.from_storage_id);
+  CheckOwnDisk(state, request.known, effects);
   const bool not_now =
       now < state.votes_refused_until ||
       (HearsLeader(state, now) && !request.leadership_transfer);
@@ -240,10 +241,14 @@
         {message.from, message.from_storage_id, message.from_suspended});
     return;
   }
+  CheckOwnDisk(state, reply.known, effects);
   if (message.term > state.hard_state.term) {
     EnterTerm(state, message.term, effects);
     return;
   }
+  if (state.hard_state.suspended) {
+    return;
+  }
   const Role wanted = reply.pre_vote ? Role::kPreCandidate : Role::kCandidate;
   const uint64_t election_term =
       state.hard_state.term + (reply.pre_vote ? 1 : 0);
--- a/libs/consensus/src/log.cc
+++ b/libs/consensus/src/log.cc
@@ -142,4 +142,10 @@
   }
 }
 
+Acknowledgement KnownAcknowledged(const ConsensusState& state,
+                                  const std::string& storage_id) {
+  auto it = state.known_acknowledged.find(storage_id);
+  return it == state.known_acknowledged.end() ? Acknowledgement{} : it->second;
+}
+
 }  // namespace gooseberryrock::consensus
--- a/libs/consensus/src/log.h
+++ b/libs/consensus/src/log.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 
 #include "gooseberryrock/consensus/consensus_state.h"
 #include "gooseberryrock/consensus/effects.h"
@@ -45,6 +46,10 @@
                        const std::string& storage_id,
                        const Acknowledgement& acknowledged);
 
+// What the VM with `storage_id` is known to have acknowledged.
+Acknowledgement KnownAcknowledged(const ConsensusState& state,
+                                  const std::string& storage_id);
+
 }  // namespace gooseberryrock::consensus
 
 #endif  // GOOSEBERRYROCK_CONSENSUS_LOG_H_
--- a/libs/consensus/src/replication.cc
+++ b/libs/consensus/src/replication.cc
@@ -255,6 +255,20 @@
   state.timeout_now_sent = false;
 }
 
+void CheckOwnDisk(ConsensusState& state,
+                  const Acknowledgement& known,
+                  Effects& effects) {
+  if (known > state.hard_state.acknowledged && !state.hard_state.suspended) {
+    state.hard_state.suspended = true;
+    effects.hard_state = state.hard_state;
+    effects.refused.push_back(
+        {state.self, state.storage_id, /*rolled_back=*/true});
+    if (state.role != Role::kFollower) {
+      StepDown(state);
+    }
+  }
+}
+
 void UpdateProgress(ConsensusState& state, SteadyTime now) {
   std::erase_if(state.progress, [&](const auto& it) {
     return state.membership.members.count(it.first) == 0;
@@ -341,12 +355,8 @@
     return;
   }
   for (const auto& [storage_id, acknowledged] : request.acknowledged) {
-    if (storage_id == state.storage_id &&
-        acknowledged > state.hard_state.acknowledged &&
-        !state.hard_state.suspended) {
-      state.hard_state.suspended = true;
-      effects.hard_state = state.hard_state;
-      effects.refused.push_back({state.self, state.storage_id, true});
+    if (storage_id == state.storage_id) {
+      CheckOwnDisk(state, acknowledged, effects);
     }
     LearnAcknowledged(state, storage_id, acknowledged);
   }
--- a/libs/consensus/src/replication.h
+++ b/libs/consensus/src/replication.h
@@ -55,6 +55,12 @@
 // Ends the leadership or candidacy without a change of term.
 void StepDown(ConsensusState& state);
 
+// Suspends this VM when others know that it has acknowledged more than its disk
+// says.
+void CheckOwnDisk(ConsensusState& state,
+                  const Acknowledgement& known,
+                  Effects& effects);
+
 }  // namespace gooseberryrock::consensus
 
 #endif  // GOOSEBERRYROCK_CONSENSUS_REPLICATION_H_
--- a/libs/proto/src/convert_consensus.cc
+++ b/libs/proto/src/convert_consensus.cc
@@ -69,12 +69,14 @@
   it.set_leadership_transfer(body.leadership_transfer);
   *it.mutable_last() = ToMessage(body.last);
   *it.mutable_acknowledged() = ToMessage(body.acknowledged);
+  *it.mutable_known() = ToMessage(body.known);
 }
 
 consensus::MessageBody FromBody(const VoteRequest& message) {
   return consensus::VoteRequest{
       message.pre_vote(), message.leadership_transfer(),
-      FromMessage(message.last()), FromMessage(message.acknowledged())};
+      FromMessage(message.last()), FromMessage(message.acknowledged()),
+      FromMessage(message.known())};
 }
 
 void SetBody(const consensus::VoteReply& body, ConsensusMessage& message) {
@@ -83,12 +85,13 @@
   it.set_granted(body.granted);
   it.set_requested_term(body.requested_term);
   *it.mutable_acknowledged() = ToMessage(body.acknowledged);
+  *it.mutable_known() = ToMessage(body.known);
 }
 
 consensus::MessageBody FromBody(const VoteReply& message) {
-  return consensus::VoteReply{message.pre_vote(), message.granted(),
-                              message.requested_term(),
-                              FromMessage(message.acknowledged())};
+  return consensus::VoteReply{
+      message.pre_vote(), message.granted(), message.requested_term(),
+      FromMessage(message.acknowledged()), FromMessage(message.known())};
 }
 
 void SetBody(const consensus::AppendRequest& body, ConsensusMessage& message) {
