query: in-flight windows, overtaken attempts, own fill limits of ranks

Cause: the estimate of a slow server stayed low, because hedges overtook its replies; urgent p99 rose with background work at the servers; ranks below their floor were refused by an estimate that ignored the floor. Ruled out: one fill limit over all ranks, which made background work wait at normal load and set the overall p99; p90 as the expected time at a start, which let 4% of the started queries miss their deadline in an overload. Change: overtaken attempts raise a server's cost, an in-flight window follows the observed times and starts at 1 after a restart, each rank has its own share of the slots, waits are estimated from the floor as well.

--- a/libs/query/include/gooseberryrock/query/admission.h
+++ b/libs/query/include/gooseberryrock/query/admission.h
@@ -21,10 +21,10 @@
   // Share of the starts, in [0, 1], that each rank keeps while others flood
   // the service. The floors sum to at most 1.
   std::array<double, kRankCount> floors = {};
-  // Part of the slots, in (0, 1], that each rank may fill up to. The rest stays
-  // free, so that urgent work does not wait for a slot during an overload by
-  // less urgent work.
-  std::array<double, kRankCount> fill = {1.0, 0.8, 0.5};
+  // Part of the slots, in (0, 1], that queries of each rank may hold. The rest
+  // stays free, so that urgent work waits neither for a slot nor at the servers
+  // during an overload by less urgent work.
+  std::array<double, kRankCount> fill = {1.0, 0.8, 0.35};
   // Time that a started query of each rank is expected to take. A query with
   // less time left is not started.
   std::array<Duration, kRankCount> expected = {};
--- a/libs/query/include/gooseberryrock/query/server_stats.h
+++ b/libs/query/include/gooseberryrock/query/server_stats.h
@@ -3,6 +3,8 @@
 #ifndef GOOSEBERRYROCK_QUERY_SERVER_STATS_H_
 #define GOOSEBERRYROCK_QUERY_SERVER_STATS_H_
 
+#include <cstdint>
+
 #include "gooseberryrock/base/time.h"
 
 namespace gooseberryrock::query {
@@ -22,12 +24,20 @@
 
 void RecordAttemptStart(ServerView& view, SteadyTime now);
 
-// `elapsed` counts from sending to the end.
+// `elapsed` counts from sending to the end. `typical` is the mean time of all
+// servers of the service, zero when it is not known.
 void RecordAttemptEnd(ServerView& view,
                       AttemptEnd end,
                       Duration elapsed,
+                      Duration typical,
                       SteadyTime now);
 
+// The server has started again and may be cold.
+void RecordRestart(ServerView& view);
+
+// Attempts that may be in flight to the server at the same time.
+uint32_t SendWindow(const ServerView& view);
+
 }  // namespace gooseberryrock::query
 
 #endif  // GOOSEBERRYROCK_QUERY_SERVER_STATS_H_
--- a/libs/query/src/admission.cc
+++ b/libs/query/src/admission.cc
@@ -51,18 +51,21 @@
 bool IsBelowFloor(const AdmissionState& state,
                   const AdmissionPolicy& policy,
                   size_t rank) {
-  return state.starts[rank] < policy.floors[rank] * StartsInAll(state);
+  // Floors are shares of the capacity, and the starts stay 5 to 10% below it.
+  constexpr double kMargin = 1.1;
+  return state.starts[rank] <
+         kMargin * policy.floors[rank] * StartsInAll(state);
 }
 
 bool MayStart(const AdmissionState& state,
               const AdmissionPolicy& policy,
               size_t rank) {
-  // A rank below its floor may use every slot; otherwise the fill limit of a
-  // less urgent rank would starve it while more urgent work fills the rest.
-  const double limit = IsBelowFloor(state, policy, rank)
-                           ? std::max(1.0, policy.slots)
-                           : Limit(policy, rank);
-  return RunningInAll(state) + 1 <= std::lround(limit);
+  if (RunningInAll(state) + 1 > std::lround(std::max(1.0, policy.slots))) {
+    return false;
+  }
+  // The fill limit of a less urgent rank must not push it below its floor.
+  return IsBelowFloor(state, policy, rank) ||
+         state.running[rank] + 1 <= std::lround(Limit(policy, rank));
 }
 
 void Start(AdmissionState& state, size_t rank) {
@@ -201,8 +204,9 @@
 double AdmissionSlots(uint32_t server_slots,
                       uint32_t nodes,
                       double hold_ratio) {
-  // Keeps the servers busy between two queries of one node.
-  constexpr double kHeadroom = 1.3;
+  // Nodes do not know of each other's load: a burst at one node may use slots
+  // that the others leave free.
+  constexpr double kHeadroom = 1.8;
   const double share = static_cast<double>(server_slots) /
                        static_cast<double>(std::max(nodes, 1U));
   return std::max(1.0, share * std::clamp(hold_ratio, 1.0, 4.0) * kHeadroom);
--- a/libs/query/src/routing.cc
+++ b/libs/query/src/routing.cc
@@ -57,6 +57,10 @@
   if (!view.own_failure_domain) {
     expected += policy.cross_domain_delay;
   }
+  // Each overtaken attempt cost a hedge, and its real time is not known.
+  constexpr double kOvertakenCost = 8;
+  expected += std::chrono::duration_cast<Duration>(
+      kOvertakenCost * view.overtaken_rate * Remembered(view, now) * expected);
   // A server that fails fast must not look fast: divide by its success rate.
   constexpr double kMinSuccessRate = 0.05;
   const double failure_rate = view.failure_rate * Remembered(view, now);
--- a/libs/query/src/server_stats.cc
+++ b/libs/query/src/server_stats.cc
@@ -20,9 +20,11 @@
 constexpr Duration kFirstAvoidance = std::chrono::milliseconds(50);
 constexpr Duration kLongestAvoidance = std::chrono::seconds(1);
 constexpr uint32_t kMostDoublings = 5;
-// A reply is in time for the ramp when it took no longer than this many times
-// the estimate.
-constexpr double kRampTolerance = 1.5;
+constexpr double kOvertakenWeight = 0.2;
+// The window shrinks after a reply that took longer than this many times the
+// typical time, which 1 in 50 replies of a healthy server does.
+constexpr double kSlowReply = 3;
+constexpr double kWindowShrink = 0.7;
 constexpr double kMaxWindow = 64;
 
 void RecordSample(ServerView& view, Duration elapsed) {
@@ -36,11 +38,12 @@
   view.service_time += std::chrono::duration_cast<Duration>(weight * change);
 }
 
-void RecordAnswer(ServerView& view, Duration elapsed) {
-  const bool in_time = view.service_time == Duration::zero() ||
-                       elapsed <= kRampTolerance * view.service_time;
-  view.window = in_time ? std::min(view.window + 1 / view.window, kMaxWindow)
-                        : std::max(view.window * 0.9, 1.0);
+void RecordAnswer(ServerView& view, Duration elapsed, Duration typical) {
+  const bool slow =
+      typical > Duration::zero() && elapsed > kSlowReply * typical;
+  view.window = slow ? std::max(view.window * kWindowShrink, 1.0)
+                     : std::min(view.window + 1 / view.window, kMaxWindow);
+  view.overtaken_rate -= kOvertakenWeight * view.overtaken_rate;
   RecordSample(view, elapsed);
   view.failure_rate -= kFailureWeight * view.failure_rate;
   view.failures_in_a_row = 0;
@@ -67,13 +70,14 @@
 void RecordAttemptEnd(ServerView& view,
                       AttemptEnd end,
                       Duration elapsed,
+                      Duration typical,
                       SteadyTime now) {
   if (view.outstanding > 0) {
     --view.outstanding;
   }
   switch (end) {
     case AttemptEnd::kAnswered:
-      RecordAnswer(view, elapsed);
+      RecordAnswer(view, elapsed, typical);
       break;
     case AttemptEnd::kRefused:
     case AttemptEnd::kFailed:
@@ -82,6 +86,7 @@
     case AttemptEnd::kCancelled:
       if (elapsed > view.service_time) {
         RecordSample(view, elapsed);
+        view.overtaken_rate += kOvertakenWeight * (1 - view.overtaken_rate);
       }
       break;
     case AttemptEnd::kConnectionSilent:
@@ -90,4 +95,15 @@
   view.last_heard = now;
 }
 
+void RecordRestart(ServerView& view) {
+  view.window = 1;
+  view.failure_rate = 0;
+  view.failures_in_a_row = 0;
+  view.avoid_until = {};
+}
+
+uint32_t SendWindow(const ServerView& view) {
+  return static_cast<uint32_t>(view.window);
+}
+
 }  // namespace gooseberryrock::query
--- a/libs/query/src/service_estimates.cc
+++ b/libs/query/src/service_estimates.cc
@@ -20,8 +20,10 @@
 // change little within this time.
 constexpr Duration kRefreshPeriod = std::chrono::milliseconds(20);
 constexpr Duration kShortestHedgeDelay = std::chrono::milliseconds(2);
-// A query with less time left than most queries need is not started.
-constexpr double kExpectedQuantile = 0.9;
+// A query with less time left than nearly all queries need is not started: in
+// an overload all queries start at the last moment, and late ones are wasted
+// work.
+constexpr double kExpectedQuantile = 0.99;
 
 void UpdateMean(Duration& mean, Duration sample) {
   if (mean == Duration::zero()) {
--- a/tests/query/simulation.h
+++ b/tests/query/simulation.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
@@ -124,6 +125,7 @@
   std::deque<uint64_t> fifo;
   std::vector<size_t> turn;
   bool stopping = false;
+  std::optional<SteadyTime> admission_timer;
 };
 
 struct Outcome {
