--- a/libs/peer/include/gooseberryrock/peer/frame.h
+++ b/libs/peer/include/gooseberryrock/peer/frame.h
@@ -50,6 +50,9 @@
 // Throws FrameError (kOversized) when the frame exceeds kMaxFrameSize.
 std::string SealFrame(const PeerFrame& frame, const FrameKey& key);
 
+// Appends the MAC to an encoded frame. Throws FrameError (kOversized).
+std::string SealBytes(std::string bytes, const FrameKey& key);
+
 // Checks the MAC before anything is parsed. Throws FrameError.
 PeerFrame OpenFrame(std::string_view bytes,
                     const FrameKey& key,
--- a/libs/peer/src/frame.cc
+++ b/libs/peer/src/frame.cc
@@ -60,7 +60,10 @@
   message.set_receiver(frame.receiver.value);
   message.set_kind(static_cast<uint32_t>(frame.kind));
   message.set_body(frame.body);
-  std::string bytes = message.SerializeAsString();
+  return SealBytes(message.SerializeAsString(), key);
+}
+
+std::string SealBytes(std::string bytes, const FrameKey& key) {
   const size_t size = bytes.size();
   if (size + kMacSize > kMaxFrameSize) {
     throw FrameError(FrameFault::kOversized, "the frame exceeds 4 MiB");
--- a/tests/claims/crash_simulation_test.cc
+++ b/tests/claims/crash_simulation_test.cc
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <functional>
 #include <map>
@@ -32,18 +33,21 @@
 class CrashSimulation {
  public:
   CrashSimulation(size_t node_count, uint64_t seed)
-      : rng(seed), nodes(node_count), servers(kServers), generation(kServers) {}
+      : rng(seed),
+        nodes_(node_count),
+        servers_(kServers),
+        generation_(kServers) {}
 
   // Resends the killer `resends` times, each after the answer to the last.
   void Run(int resends) {
     At(milliseconds(1), [this, resends] { SendKiller(resends); });
     At({}, [this] { SendInnocent(); });
-    const SteadyTime end = now + seconds(resends);
-    while (!events.empty() && now < end) {
-      auto it = events.begin();
-      now = it->first;
+    const SteadyTime end = now_ + seconds(resends);
+    while (!events_.empty() && now_ < end) {
+      auto it = events_.begin();
+      now_ = it->first;
       const auto action = std::move(it->second);
-      events.erase(it);
+      events_.erase(it);
       action();
     }
   }
@@ -57,7 +61,7 @@
 
  private:
   void At(Duration delay, std::function<void()> action) {
-    events.emplace(now + delay, std::move(action));
+    events_.emplace(now_ + delay, std::move(action));
   }
 
   Duration Random(int64_t from_us, int64_t to_us) {
@@ -66,7 +70,7 @@
   }
 
   void SendKiller(int resends) {
-    const size_t node = rng() % nodes.size();
+    const size_t node = rng() % nodes_.size();
     const auto decision = Check(node, kKiller);
     if (decision == FingerprintDecision::kRun) {
       Start(node, kKiller, false);
@@ -89,7 +93,7 @@
   }
 
   void SendInnocent() {
-    const size_t node = rng() % nodes.size();
+    const size_t node = rng() % nodes_.size();
     const Fingerprint fingerprint = 100 + rng() % 50;
     const auto decision = Check(node, fingerprint);
     innocent_refusals += decision == FingerprintDecision::kRefuse ? 1 : 0;
@@ -102,20 +106,20 @@
   }
 
   FingerprintDecision Check(size_t node, Fingerprint fingerprint) {
-    return CheckFingerprint(nodes[node], fingerprint, now);
+    return CheckFingerprint(nodes_[node], fingerprint, now_);
   }
 
   void Start(size_t node, Fingerprint fingerprint, bool alone) {
     if (alone) {
-      StartAlone(nodes[node], fingerprint, Id(node), now);
-      Tell(node, DescribeSuspicion(nodes[node], fingerprint, now));
+      StartAlone(nodes_[node], fingerprint, Id(node), now_);
+      Tell(node, DescribeSuspicion(nodes_[node], fingerprint, now_));
     }
     const size_t server = rng() % kServers;
-    const uint64_t id = ++last_attempt;
-    servers[server][id] = {node, fingerprint, alone};
+    const uint64_t id = ++last_attempt_;
+    servers_[server][id] = {node, fingerprint, alone};
     At(Random(500, 10000), [this, server, id] {
-      auto it = servers[server].find(id);
-      if (it == servers[server].end()) {
+      auto it = servers_[server].find(id);
+      if (it == servers_[server].end()) {
         return;
       }
       const Attempt attempt = it->second;
@@ -123,9 +127,9 @@
         Crash(server);
         return;
       }
-      servers[server].erase(it);
+      servers_[server].erase(it);
       if (attempt.alone) {
-        auto cleared = RecordSuccess(nodes[attempt.node], attempt.fingerprint);
+        auto cleared = RecordSuccess(nodes_[attempt.node], attempt.fingerprint);
         Tell(attempt.node,
              {attempt.fingerprint, std::move(cleared), true, {}, {}});
       }
@@ -134,26 +138,27 @@
 
   void Crash(size_t server) {
     ++killer_crashes;
-    const CrashedServer crashed{{std::to_string(server)}, ++generation[server]};
+    const CrashedServer crashed{{std::to_string(server)},
+                                ++generation_[server]};
     std::map<size_t, std::set<Fingerprint>> by_node;
-    for (const auto& [id, attempt] : servers[server]) {
+    for (const auto& [id, attempt] : servers_[server]) {
       by_node[attempt.node].insert(attempt.fingerprint);
     }
-    servers[server].clear();
+    servers_[server].clear();
     for (const auto& [node, fingerprints] : by_node) {
       for (Fingerprint fingerprint : fingerprints) {
-        RecordCrash(nodes[node], fingerprint, crashed,
-                    {fingerprints.size() > 1, false}, now);
-        Tell(node, DescribeSuspicion(nodes[node], fingerprint, now));
+        RecordCrash(nodes_[node], fingerprint, crashed,
+                    {fingerprints.size() > 1, false}, now_);
+        Tell(node, DescribeSuspicion(nodes_[node], fingerprint, now_));
       }
     }
   }
 
   void Tell(size_t from, const Suspicion& suspicion) {
-    for (size_t to = 0; to < nodes.size(); ++to) {
+    for (size_t to = 0; to < nodes_.size(); ++to) {
       if (to != from && (!partitioned || to % 2 == from % 2)) {
         At(Random(100, 1500), [this, from, to, suspicion] {
-          MergeSuspicion(nodes[to], suspicion, Id(from), now);
+          MergeSuspicion(nodes_[to], suspicion, Id(from), now_);
         });
       }
     }
@@ -161,12 +166,12 @@
 
   static NodeId Id(size_t node) { return {std::to_string(node)}; }
 
-  SteadyTime now{std::chrono::hours(1)};
-  uint64_t last_attempt = 0;
-  std::vector<CrashSuspects> nodes;
-  std::vector<std::map<uint64_t, Attempt>> servers;
-  std::vector<uint64_t> generation;
-  std::multimap<SteadyTime, std::function<void()>> events;
+  SteadyTime now_{std::chrono::hours(1)};
+  uint64_t last_attempt_ = 0;
+  std::vector<CrashSuspects> nodes_;
+  std::vector<std::map<uint64_t, Attempt>> servers_;
+  std::vector<uint64_t> generation_;
+  std::multimap<SteadyTime, std::function<void()>> events_;
 };
 
 // Guards against a query that takes down the servers one after the other, and
@@ -193,7 +198,8 @@
               static_cast<long long>(innocent_refusals));
 }
 
-// States what holds for two groups of nodes without contact: the bound of each.
+// States what holds for two groups of nodes without contact: the bound of
+// each.
 TEST(CrashSimulationTest, BoundHoldsForEachSideOfAPartition) {
   int most = 0;
   for (uint64_t seed = 1; seed <= 100; ++seed) {
