--- a/apps/ctl/main.cc
+++ b/apps/ctl/main.cc
@@ -68,10 +68,12 @@
   app.add_flag("--json", options.json, "Print replies as one line of JSON");
   const std::map<std::string, uint64_t> units = {{"ms", 1}, {"s", 1000}};
   app.add_option("--timeout", arguments.timeout_ms,
-                 "Time for one call, like 500ms or 5s (default: 5s)")
+                 "Time for one call, 1ms to 3600s, like 500ms (default: 5s)")
       ->transform(CLI::AsNumberWithUnit(
-          units, CLI::AsNumberWithUnit::UNIT_REQUIRED, "TIME"))
-      ->check(CLI::Range(uint64_t{1}, uint64_t{3600000}));
+                      units, CLI::AsNumberWithUnit::UNIT_REQUIRED, "TIME")
+                      .description(""))
+      ->check(CLI::Range(uint64_t{1}, uint64_t{3600000}).description(""))
+      ->type_name("TIME");
   app.add_option("--command-id", options.command_id,
                  "Id of the command, to send one again")
       ->type_name("ID");
@@ -186,7 +188,7 @@
           proto::ADD_LEARNER);
   learner
       ->add_option("--storage-id", arguments.storage_id,
-                   "Storage id, from the node's log line storage_opened")
+                   "Storage id, which the node logs when it starts")
       ->required();
   learner
       ->add_option("--peer-address", arguments.peer_address,
--- a/apps/node/main.cc
+++ b/apps/node/main.cc
@@ -92,7 +92,12 @@
       "  gbrnode --settings /etc/gooseberryrock/node.json --check\n"
       "  gbrnode --settings /etc/gooseberryrock/node.json\n"
       "SIGTERM stops the node after the queries in flight.");
-  CLI11_PARSE(app, argc, argv);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    // Prints help, the version or what is wrong.
+    return app.exit(e) == 0 ? EXIT_SUCCESS : kExitFailure;
+  }
   try {
     return CheckAndRun(settings_path, check_only);
   } catch (const gooseberryrock::Error& e) {
--- a/libs/settings/src/check_settings.cc
+++ b/libs/settings/src/check_settings.cc
@@ -260,8 +260,10 @@
     return static_cast<unsigned>(
         ReadInteger(root, key, Presence::kOptional, range, missing));
   };
+  const size_t problems_before = root.problems.size();
   settings.http_threads =
       read("http_threads", {2, 4096}, settings.http_threads);
+  const bool threads_valid = root.problems.size() == problems_before;
   settings.query_shards = read("query_shards", {1, 64}, settings.query_shards);
   settings.io_shards = read("io_shards", {1, 64}, settings.io_shards);
   settings.drain_wait =
@@ -269,7 +271,7 @@
   // A quarter of the threads stays free for other requests.
   const unsigned missing = std::max(1U, settings.http_threads / 4 * 3);
   settings.max_in_flight = read("max_in_flight", {1, 4095}, missing);
-  if (settings.max_in_flight >= settings.http_threads) {
+  if (threads_valid && settings.max_in_flight >= settings.http_threads) {
     AddProblem(root, "max_in_flight",
                "must be below http_threads, which is " +
                    std::to_string(settings.http_threads));
--- a/tests/settings/check_settings_test.cc
+++ b/tests/settings/check_settings_test.cc
@@ -115,7 +115,7 @@
               {"node": "m", "failure_domain": "b",
                "peer_address": {"host": "10.0.0.2", "port": 2}}, 5],
     "cluster_key": "short", "http_threads": 1, "query_shards": 2.5,
-    "drain_wait_ms": -1, "log_level": "loud", "max_in_flight": 64})"),
+    "drain_wait_ms": -1, "log_level": "loud", "max_in_flight": 0})"),
       testing::UnorderedElementsAre(
           HasSubstr("/colour: unknown key; known keys: cluster, node"),
           HasSubstr("/cluster: must be a string of 1 to 64 letters"),
@@ -136,7 +136,18 @@
           "/query_shards: must be an integer from 1 to 64",
           "/drain_wait_ms: must be an integer from 0 to 60000",
           "/log_level: must be debug, info, warning or error",
-          "/max_in_flight: must be below http_threads, which is 64"));
+          "/max_in_flight: must be an integer from 1 to 4095"));
+}
+
+// Guards against queries that occupy all threads, so that health checks fail.
+TEST_F(CheckSettingsTest, QueriesInFlightLeaveThreadsFree) {
+  EXPECT_THAT(
+      Problems(Valid(R"(, "max_in_flight": 64)")),
+      ElementsAre("/max_in_flight: must be below http_threads, which is 64"));
+  const auto report =
+      CheckSettings(Write("node.json", Valid(R"(, "http_threads": 16)")));
+  EXPECT_THAT(report.problems, IsEmpty());
+  EXPECT_EQ(report.settings.max_in_flight, 12U);
 }
 
 // Guards against a syntax error whose place has to be searched for.
--- a/tests/telemetry/metrics_test.cc
+++ b/tests/telemetry/metrics_test.cc
@@ -5,6 +5,8 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <fstream>
+#include <iterator>
 #include <regex>
 #include <set>
 #include <sstream>
@@ -164,6 +166,19 @@
   EXPECT_EQ(families.size(), kCounterCount + kGaugeCount + 5);
 }
 
+// Guards against a metric that the operators' page does not explain.
+TEST(MetricsTest, OperationsPageNamesEachMetric) {
+  std::ifstream in(GOOSEBERRYROCK_SOURCE_DIR "/docs/operations.md");
+  const std::string text((std::istreambuf_iterator<char>(in)), {});
+  std::istringstream lines(RenderMetrics(Metrics()));
+  for (std::string line; std::getline(lines, line);) {
+    if (line.starts_with("# TYPE ")) {
+      const std::string name = line.substr(7, line.rfind(' ') - 7);
+      EXPECT_THAT(text, HasSubstr("`" + name + "`"));
+    }
+  }
+}
+
 // Guards against lost updates and data races between threads.
 TEST(MetricsTest, CountsOnSeveralThreads) {
   constexpr int kThreads = 4;
