--- /dev/null
+++ b/tests/process/cluster.cc
@@ -0,0 +1,340 @@
+// Three nodes and nine stand-in backend servers as processes on 127.0.0.1.
+
+#include "cluster.h"
+
+#include <gtest/gtest.h>
+#include <sys/wait.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <random>
+#include <set>
+#include <sstream>
+#include <thread>
+#include <utility>
+
+#include "gooseberryrock/http/http_call.h"
+#include "gooseberryrock/http/http_error.h"
+#include "gooseberryrock/proto/json_codec.h"
+#include "gooseberryrock/proto/malformed_message_error.h"
+#include "raw_socket.h"
+
+namespace gooseberryrock::process_test {
+
+namespace {
+
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char* kToken = "process-test-operator-token";
+constexpr std::array kDomains = {"a", "b", "c"};
+constexpr Duration kStartTimeout = seconds(10);
+constexpr Duration kLoadTimeout = seconds(30);
+constexpr int kHttpOk = 200;
+
+http::HttpCall LocalCall(uint16_t port, std::string path, std::string body) {
+  http::HttpCall call;
+  call.host = "127.0.0.1";
+  call.port = port;
+  call.path = std::move(path);
+  call.body = std::move(body);
+  return call;
+}
+
+std::string MakeFolder() {
+  std::string path = testing::TempDir() + "gbr-process-test-XXXXXX";
+  EXPECT_NE(::mkdtemp(path.data()), nullptr);
+  return path;
+}
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream in(path);
+  std::stringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+std::vector<std::string> Split(const std::string& text, char separator) {
+  std::vector<std::string> parts;
+  std::stringstream in(text);
+  for (std::string part; std::getline(in, part, separator);) {
+    parts.push_back(part);
+  }
+  return parts;
+}
+
+}  // namespace
+
+size_t LoadResult::Count(const std::string& status) const {
+  auto it = statuses.find(status);
+  return it == statuses.end() ? 0 : it->second;
+}
+
+double LoadResult::OnTimeShare() const {
+  return sent == 0 ? 0 : on_time / static_cast<double>(sent);
+}
+
+std::string NewRequestId(uint64_t number) {
+  const auto unix_ms = std::chrono::duration_cast<milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+  return std::to_string(unix_ms.count()) + "-" + std::to_string(number);
+}
+
+Cluster::Cluster() : folder_(MakeFolder()) {
+  ChoosePorts();
+  for (size_t i = 0; i < kNodes; ++i) {
+    StartNode(i);
+  }
+  for (size_t n = 0; n < kServers; ++n) {
+    StartServer(n);
+  }
+  CreateService();
+  WaitForCompleteAnswers();
+}
+
+Cluster::~Cluster() {
+  load_.reset();
+  servers_.clear();
+  nodes_.clear();
+  if (testing::Test::HasFailure()) {
+    std::cerr << "the logs are in " << folder_ << "\n";
+  } else {
+    std::filesystem::remove_all(folder_);
+  }
+}
+
+void Cluster::ChoosePorts() {
+  std::set<uint16_t> used;
+  const auto choose = [&](std::vector<uint16_t>& ports, size_t n) {
+    while (ports.size() < n) {
+      const uint16_t port = http::FreePort();
+      if (used.insert(port).second) {
+        ports.push_back(port);
+      }
+    }
+  };
+  choose(node_ports_, kNodes);
+  choose(peer_ports_, kNodes);
+  choose(server_ports_, kServers);
+  choose(control_ports_, kServers);
+}
+
+std::string Cluster::PathOf(const std::string& file) const {
+  return folder_ + "/" + file;
+}
+
+std::string Cluster::SettingsOf(size_t i) const {
+  const Json settings = {
+      {"cluster", "process-test"},
+      {"node", std::string("node-") + kDomains[i]},
+      {"failure_domain", kDomains[i]},
+      {"http_address", {{"host", "127.0.0.1"}, {"port", node_ports_[i]}}},
+      {"peer_address", {{"host", "127.0.0.1"}, {"port", peer_ports_[i]}}},
+      {"cluster_key", "process-test-cluster-key-32-byte"},
+      {"operator_token", kToken}};
+  return settings.dump(2);
+}
+
+void Cluster::StartNode(size_t i) {
+  const std::string name = "node-" + std::to_string(i);
+  std::ofstream(PathOf(name + ".json")) << SettingsOf(i);
+  nodes_.push_back(std::make_unique<Process>(
+      std::vector<std::string>{GBRNODE_PATH, "--settings",
+                               PathOf(name + ".json")},
+      PathOf(name + ".log")));
+}
+
+void Cluster::StartServer(size_t n) {
+  const std::string id = "chairs-" + std::to_string(n);
+  std::vector<std::string> arguments = {GBRSTANDIN_PATH,
+                                        "--id",
+                                        id,
+                                        "--service",
+                                        "chairs",
+                                        "--failure-domain",
+                                        kDomains[n % kDomains.size()],
+                                        "--port",
+                                        std::to_string(server_ports_[n]),
+                                        "--control-port",
+                                        std::to_string(control_ports_[n]),
+                                        "--shards",
+                                        "s" + std::to_string(n / kShards),
+                                        "--seed",
+                                        std::to_string(n + 1),
+                                        "--announce-to-all",
+                                        "--nodes"};
+  for (const std::string& node : NodeAddresses()) {
+    arguments.push_back(node);
+  }
+  servers_.push_back(std::make_unique<Process>(arguments, PathOf(id + ".log")));
+}
+
+// Nodes keep their own catalog, so that each of them gets the command.
+void Cluster::CreateService() const {
+  const std::string command =
+      Json(
+          {{"command_id", "create-chairs"},
+           {"expected_version", 0},
+           {"put_service",
+            {{"name", "chairs"},
+             {"layouts", {{{"version", 1}, {"shards", {"s0", "s1", "s2"}}}}}}}})
+          .dump();
+  for (const uint16_t port : node_ports_) {
+    const SteadyTime until = std::chrono::steady_clock::now() + kStartTimeout;
+    bool accepted = false;
+    while (!accepted && std::chrono::steady_clock::now() < until) {
+      auto call = LocalCall(port, "/v1/operator/SubmitCommand", command);
+      call.headers["Authorization"] = std::string("Bearer ") + kToken;
+      try {
+        accepted = http::Execute(call).status == kHttpOk;
+      } catch (const http::HttpError&) {
+        std::this_thread::sleep_for(milliseconds(20));
+      }
+    }
+    EXPECT_TRUE(accepted) << "no reply of a node to the command";
+  }
+}
+
+void Cluster::WaitForCompleteAnswers() {
+  for (size_t i = 0; i < kNodes; ++i) {
+    const SteadyTime until = std::chrono::steady_clock::now() + kStartTimeout;
+    std::string status;
+    while (status != "complete" && std::chrono::steady_clock::now() < until) {
+      status = Send(i).answer.status();
+      std::this_thread::sleep_for(milliseconds(20));
+    }
+    EXPECT_EQ(status, "complete") << "from node " << i;
+  }
+}
+
+std::vector<std::string> Cluster::NodeAddresses() const {
+  std::vector<std::string> addresses;
+  for (const uint16_t port : node_ports_) {
+    addresses.push_back("127.0.0.1:" + std::to_string(port));
+  }
+  return addresses;
+}
+
+Reply Cluster::Send(size_t node, Query query) {
+  if (query.request_id.empty()) {
+    query.request_id = NewRequestId(++next_request_);
+  }
+  auto call = LocalCall(node_ports_[node], "/v1/query/chairs",
+                        Json({{"text", query.text}}).dump());
+  call.headers = {
+      {"Gbr-Request-Id", query.request_id},
+      {"Gbr-Deadline-Ms",
+       std::to_string(
+           std::chrono::duration_cast<milliseconds>(query.deadline).count())},
+      {"Gbr-Rank", "urgent"},
+      {"Gbr-Idempotent", query.idempotent ? "true" : "false"},
+      {"Gbr-Tenant", "tenant"}};
+  if (!query.routing_key.empty()) {
+    call.headers["Gbr-Routing-Key"] = query.routing_key;
+  }
+  call.timeout = query.deadline + seconds(2);
+  Reply reply;
+  try {
+    const http::HttpReply got = http::Execute(call);
+    reply.http_status = got.status;
+    reply.body = got.body;
+    proto::FromJson(got.body, reply.answer);
+  } catch (const http::HttpError&) {
+  } catch (const proto::MalformedMessageError&) {
+  }
+  return reply;
+}
+
+int Cluster::Ready(size_t node) const {
+  auto call = LocalCall(node_ports_[node], "/readyz", "");
+  call.method = "GET";
+  try {
+    return http::Execute(call).status;
+  } catch (const http::HttpError&) {
+    return 0;
+  }
+}
+
+http::HttpReply Cluster::CallControl(size_t server,
+                                     const std::string& path,
+                                     const std::string& body) const {
+  auto reply = http::Execute(LocalCall(control_ports_[server], path, body));
+  EXPECT_EQ(reply.status, kHttpOk) << reply.body;
+  return reply;
+}
+
+void Cluster::Control(size_t server, const Json& change) const {
+  CallControl(server, "/control", change.dump());
+}
+
+void Cluster::ControlShard(size_t shard, const Json& change) const {
+  for (size_t n = shard * kShards; n < (shard + 1) * kShards; ++n) {
+    Control(n, change);
+  }
+}
+
+void Cluster::Silence(size_t server) const {
+  CallControl(server, "/silence", "");
+}
+
+Json Cluster::Stats(size_t server) const {
+  return Json::parse(CallControl(server, "/stats", "").body);
+}
+
+std::map<std::string, uint64_t> Cluster::Executions() const {
+  std::map<std::string, uint64_t> sums;
+  for (size_t n = 0; n < kServers; ++n) {
+    const auto executions = Json::parse(CallControl(n, "/executions", "").body);
+    for (const auto& [id, count] : executions.items()) {
+      sums[id] += count.get<uint64_t>();
+    }
+  }
+  return sums;
+}
+
+void Cluster::StartLoad(double load_seconds,
+                        const std::vector<std::string>& options) {
+  std::vector<std::string> arguments = {GBRLOAD_PATH,
+                                        "--service",
+                                        "chairs",
+                                        "--seconds",
+                                        std::to_string(load_seconds),
+                                        "--csv",
+                                        PathOf("load.csv")};
+  arguments.insert(arguments.end(), options.begin(), options.end());
+  arguments.emplace_back("--nodes");
+  for (const std::string& node : NodeAddresses()) {
+    arguments.push_back(node);
+  }
+  load_ = std::make_unique<Process>(arguments, PathOf("load.log"));
+}
+
+LoadResult Cluster::WaitForLoad() {
+  LoadResult result;
+  EXPECT_TRUE(load_->WaitForEnd(kLoadTimeout).has_value());
+  result.output = ReadFile(PathOf("load.log"));
+  // Columns: second, rank, sent, on_time_share, p50, p95, p99, coverage, wrong,
+  // statuses.
+  for (const std::string& line : Split(ReadFile(PathOf("load.csv")), '\n')) {
+    const auto fields = Split(line, ',');
+    if (fields.size() != 10 || fields[0] != "all") {
+      continue;
+    }
+    const size_t sent = std::stoul(fields[2]);
+    result.sent += sent;
+    result.on_time += std::stod(fields[3]) * static_cast<double>(sent);
+    result.wrong += std::stoul(fields[8]);
+    for (const std::string& status : Split(fields[9], ' ')) {
+      const auto parts = Split(status, '=');
+      result.statuses[parts[0]] += std::stoul(parts[1]);
+    }
+  }
+  EXPECT_GT(result.sent, 0U) << result.output;
+  return result;
+}
+
+}  // namespace gooseberryrock::process_test
--- /dev/null
+++ b/tests/process/process.cc
@@ -0,0 +1,73 @@
+// A child process of a test.
+
+#include "process.h"
+
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <poll.h>
+#include <sys/syscall.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <csignal>
+
+namespace gooseberryrock::process_test {
+
+namespace {
+
+constexpr int kExecFailed = 127;
+
+}  // namespace
+
+Process::Process(const std::vector<std::string>& arguments,
+                 const std::string& log_path) {
+  std::vector<char*> argv;
+  argv.reserve(arguments.size() + 1);
+  for (const std::string& argument : arguments) {
+    argv.push_back(const_cast<char*>(argument.c_str()));
+  }
+  argv.push_back(nullptr);
+  const int log =
+      ::open(log_path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  pid_ = ::fork();
+  if (pid_ == 0) {
+    ::dup2(log, STDOUT_FILENO);
+    ::dup2(log, STDERR_FILENO);
+    ::execv(argv[0], argv.data());
+    ::_exit(kExecFailed);
+  }
+  ::close(log);
+  EXPECT_GT(pid_, 0);
+  pidfd_ = static_cast<int>(::syscall(SYS_pidfd_open, pid_, 0));
+  EXPECT_GE(pidfd_, 0);
+}
+
+Process::~Process() {
+  Signal(SIGKILL);
+  WaitForEnd(std::chrono::seconds(5));
+  ::close(pidfd_);
+}
+
+void Process::Signal(int signal) const {
+  if (!status_) {
+    ::syscall(SYS_pidfd_send_signal, pidfd_, signal, nullptr, 0);
+  }
+}
+
+std::optional<int> Process::WaitForEnd(Duration timeout) {
+  if (status_) {
+    return status_;
+  }
+  pollfd fd{pidfd_, POLLIN, 0};
+  const auto wait =
+      std::chrono::ceil<std::chrono::milliseconds>(timeout).count();
+  int status = 0;
+  if (::poll(&fd, 1, static_cast<int>(wait)) > 0 &&
+      ::waitpid(pid_, &status, 0) == pid_) {
+    status_ = status;
+  }
+  return status_;
+}
+
+}  // namespace gooseberryrock::process_test
