process tests: a request that crashes servers; quick start ends cleanly on signals

Cause: a second signal during the stop of the quick start ended its wait for the nodes, which drain for 2 s, and left them behind for that time. The stop now ignores further signals, and the folder with logs is kept only on a failure.

A new case sends a request that ends the server that runs it 9 times through 3 nodes.

--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -62,14 +62,17 @@
 
 stop_all() {
   local pid status=$?
+  # A second signal must not end the wait for the processes.
   trap - EXIT
+  trap '' INT TERM
   for pid in "${pids[@]}"; do
     kill -TERM "$pid" 2>/dev/null || true
   done
   for pid in "${pids[@]}"; do
     wait "$pid" 2>/dev/null || true
   done
-  if [ "$status" -ne 0 ] && [ -n "$work" ]; then
+  # 128 and above stand for a signal.
+  if [ "$status" -ne 0 ] && [ "$status" -lt 128 ] && [ -n "$work" ]; then
     echo "the logs are in $work" >&2
   else
     rm -rf "$work"
--- a/tests/process/process_test.cc
+++ b/tests/process/process_test.cc
@@ -231,6 +231,23 @@
   }
 }
 
+// Guards against a request that ends one server after the other: it may reach
+// at most 3 of them, whatever the number of resends and nodes (design page,
+// 1.8).
+TEST_F(ProcessTest, CrashingRequestReachesAtMostThreeServers) {
+  Query query;
+  query.text = "CRASH";
+  for (size_t i = 0; i < 3 * kNodes; ++i) {
+    cluster_.Send(i % kNodes, query);
+  }
+  size_t crashed = 0;
+  for (size_t n = 0; n < kServers; ++n) {
+    crashed += cluster_.server(n).running() ? 0 : 1;
+  }
+  EXPECT_GE(crashed, 1U);
+  EXPECT_LE(crashed, 3U);
+}
+
 // Guards against new work on a server that is leaving.
 TEST_F(ProcessTest, DrainingServerGetsNoNewWork) {
   cluster_.StartLoad(5, {"--rates", "60", "20", "20"});
