node, http: admission, estimates, windows and silent connections in the engine

Cause: the running node admitted every query at once, never hedged, and held an attempt on a dead connection until its deadline. Ruled out: a timer thread for admission, since each waiting caller can watch its own latest start; connecting ahead with the client's blocking connect(), which would hold up the selector thread, so a cancel of attempt 0 opens the connection without blocking. Change: ServiceGate holds admission and estimates of one service under its own lock; backend_channel keeps to the in-flight window, replaces silent connections at a limited rate, cancels what it gives up, opens one connection ahead and hands back waiting calls of a draining server; a server that starts again has its window reset. The node count is the connection limit divided by this node's share of it.

--- a/libs/http/include/gooseberryrock/http/backend_call.h
+++ b/libs/http/include/gooseberryrock/http/backend_call.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "gooseberryrock/base/ids.h"
+#include "gooseberryrock/base/rank.h"
 #include "gooseberryrock/base/time.h"
 
 namespace gooseberryrock::http {
@@ -22,6 +23,16 @@
   // reused connection the HTTP client resends a request on its own when the
   // server closes the connection.
   bool at_most_once = false;
+  // Returned with the result.
+  ServiceName service = {};
+  Rank rank = Rank::kUrgent;
+  // The connection counts as silent when there is no reply for this long; zero
+  // to wait for the deadline.
+  Duration silence = Duration::zero();
+  // Calls that the server may have in flight from this node at present.
+  uint32_t window = 1;
+  // Posted to /v1/cancel when the call is given up as silent.
+  std::string cancel_body = {};
 };
 
 }  // namespace gooseberryrock::http
--- a/libs/http/include/gooseberryrock/http/backend_channel.h
+++ b/libs/http/include/gooseberryrock/http/backend_channel.h
@@ -43,6 +43,10 @@
   // deadline has passed. An unknown server gives kNotSent.
   void Send(BackendCall call);
 
+  // Reports the calls to `server` that wait for a connection as kNotSent: they
+  // are new work that a draining server must not get.
+  void DropWaiting(const BackendServerId& server);
+
   // Drops the call `attempt` when it waits for a connection; posts
   // `cancel_body` to /v1/cancel of the server when it may be running there. No
   // result of the call is reported.
--- a/libs/http/include/gooseberryrock/http/backend_connection.h
+++ b/libs/http/include/gooseberryrock/http/backend_connection.h
@@ -50,6 +50,13 @@
   // be destroyed afterwards.
   BackendResult GiveUp(SteadyTime now);
 
+  // When the connection next counts as silent; never when empty. Meaningful
+  // while busy.
+  std::optional<SteadyTime> silent_at() const { return silent_at_; }
+  void set_silent_at(SteadyTime time) { silent_at_ = time; }
+  // Whether any call on the connection has had a reply.
+  bool answered_before() const { return answered_before_; }
+
   // Whether a further call may use the connection.
   bool reusable() const { return reusable_; }
 
@@ -68,6 +75,8 @@
   bool abandoned_ = false;
   bool finished_ = false;
   bool reusable_ = true;
+  bool answered_before_ = false;
+  std::optional<SteadyTime> silent_at_;
 };
 
 }  // namespace gooseberryrock::http
--- a/libs/http/include/gooseberryrock/http/backend_result.h
+++ b/libs/http/include/gooseberryrock/http/backend_result.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "gooseberryrock/base/ids.h"
+#include "gooseberryrock/base/rank.h"
 #include "gooseberryrock/base/time.h"
 
 namespace gooseberryrock::http {
@@ -18,6 +19,8 @@
   kNotSent,
   // The request may have reached the server, but there is no whole reply.
   kLost,
+  // As kLost, because the connection stopped responding and was replaced.
+  kSilent,
 };
 
 struct BackendResult {
@@ -31,6 +34,9 @@
   // Times that the HTTP client sent the request; more than one is a resend
   // that it made on its own.
   uint32_t times_sent = 0;
+  // Of the call.
+  ServiceName service;
+  Rank rank = Rank::kUrgent;
 };
 
 }  // namespace gooseberryrock::http
--- a/libs/http/src/backend_channel.cc
+++ b/libs/http/src/backend_channel.cc
@@ -16,6 +16,7 @@
 
 #include "gooseberryrock/base/time.h"
 #include "gooseberryrock/http/backend_connection.h"
+#include "gooseberryrock/query/connection_health.h"
 
 namespace gooseberryrock::http {
 
@@ -44,12 +45,25 @@
 // A cancellation that has not reached the server by then is of no use.
 constexpr Duration kCancelTimeout = std::chrono::milliseconds(200);
 
-using Event = std::variant<BackendCall, CancelEvent, SetEndpointEvent>;
+struct DropWaitingEvent {
+  BackendServerId server;
+};
+
+using Event =
+    std::variant<BackendCall, CancelEvent, SetEndpointEvent, DropWaitingEvent>;
+
+constexpr query::ConnectionPolicy kConnectionPolicy;
+// Opens a connection ahead of its first call: cxxtools opens one without
+// blocking only together with a request. No attempt has the id 0.
+constexpr const char* kWarmUpBody = R"({"attemptId":"0"})";
 
 struct Server {
   BackendEndpoint endpoint;
   std::vector<std::unique_ptr<BackendConnection>> connections;
   std::deque<BackendCall> waiting;
+  // Calls that may be in flight, from the latest call.
+  uint32_t window = 1;
+  query::ConnectionHealth health;
 };
 
 SteadyTime Now() {
@@ -106,9 +120,20 @@
       Report(NotSent(call));
       return;
     }
+    it->second.window = std::max(call.window, 1U);
     it->second.waiting.push_back(std::move(call));
   }
 
+  void Handle(const DropWaitingEvent& event) {
+    auto it = servers.find(event.server);
+    if (it != servers.end()) {
+      for (const BackendCall& call : it->second.waiting) {
+        Report(NotSent(call));
+      }
+      it->second.waiting.clear();
+    }
+  }
+
   void Handle(CancelEvent cancel) {
     auto it = servers.find(cancel.server);
     if (it == servers.end()) {
@@ -165,6 +190,8 @@
     BackendResult result;
     result.attempt = call.attempt;
     result.server = call.server;
+    result.service = call.service;
+    result.rank = call.rank;
     return result;
   }
 
@@ -187,7 +214,9 @@
     for (auto& [id, server] : servers) {
       CollectFinished(server, now);
       DropLate(server, now);
+      ReplaceSilent(server, now);
       SendWaiting(server, now);
+      OpenAhead(id, server, now);
       next = std::min(next, NextDeadline(server, now));
     }
     return std::max(next - Now(), Duration::zero());
@@ -196,7 +225,11 @@
   void CollectFinished(Server& server, SteadyTime now) {
     for (auto& connection : server.connections) {
       if (connection->busy() && connection->finished()) {
-        Finish(*connection, connection->TakeResult(now));
+        BackendResult result = connection->TakeResult(now);
+        if (result.kind == BackendResultKind::kReply) {
+          query::OnConnectionAnswered(server.health);
+        }
+        Finish(*connection, std::move(result));
       }
     }
     std::erase_if(server.connections, [](const auto& connection) {
@@ -227,8 +260,74 @@
     });
   }
 
+  void ReplaceSilent(Server& server, SteadyTime now) {
+    bool replaced = false;
+    for (auto& connection : server.connections) {
+      const auto silent_at = connection->silent_at();
+      if (!connection->busy() || !silent_at || now < *silent_at) {
+        continue;
+      }
+      if (!query::OnConnectionSilent(server.health, kConnectionPolicy,
+                                     connection->answered_before(),
+                                     server.endpoint.max_connections, now)) {
+        connection->set_silent_at(now + kConnectionPolicy.replacement_period);
+        continue;
+      }
+      replaced = true;
+      if (!connection->abandoned()) {
+        server.waiting.push_back({kNoAttempt, connection->call().server,
+                                  "/v1/cancel", connection->call().cancel_body,
+                                  now + kCancelTimeout});
+      }
+      BackendResult result = connection->GiveUp(now);
+      result.kind = BackendResultKind::kSilent;
+      Finish(*connection, std::move(result));
+    }
+    if (replaced) {
+      // The idle connections are as old and may be as dead.
+      std::erase_if(server.connections,
+                    [](const auto& it) { return !it->busy(); });
+    }
+  }
+
+  void OpenAhead(const BackendServerId& id, Server& server, SteadyTime now) {
+    const uint32_t busy = CountBusy(server);
+    const auto all = static_cast<uint32_t>(server.connections.size());
+    if (busy == 0 && all == 0) {
+      return;
+    }
+    const uint32_t n = query::ConnectionsToOpen(
+        busy, all - busy, server.endpoint.max_connections);
+    for (uint32_t i = 0; i < n && server.waiting.empty(); ++i) {
+      server.connections.push_back(std::make_unique<BackendConnection>(
+          selector, server.endpoint.host, server.endpoint.port));
+      server.connections.back()->Begin(
+          {kNoAttempt, id, "/v1/cancel", kWarmUpBody, now + kCancelTimeout},
+          now);
+    }
+  }
+
+  static uint32_t CountBusy(const Server& server) {
+    return static_cast<uint32_t>(
+        std::count_if(server.connections.begin(), server.connections.end(),
+                      [](const auto& it) { return it->busy(); }));
+  }
+
+  // Calls in flight that an attempt waits for.
+  static uint32_t CountInFlight(const Server& server) {
+    return static_cast<uint32_t>(
+        std::count_if(server.connections.begin(), server.connections.end(),
+                      [](const auto& it) {
+                        return it->busy() && it->call().attempt != kNoAttempt;
+                      }));
+  }
+
   void SendWaiting(Server& server, SteadyTime now) {
     while (!server.waiting.empty()) {
+      if (server.waiting.front().attempt != kNoAttempt &&
+          CountInFlight(server) >= server.window) {
+        return;
+      }
       BackendConnection* connection =
           FreeConnection(server, server.waiting.front().at_most_once);
       if (connection == nullptr) {
@@ -266,6 +365,9 @@
       if (connection->busy()) {
         next = std::min(next,
                         connection->finished() ? now : GiveUpTime(*connection));
+        if (connection->silent_at()) {
+          next = std::min(next, *connection->silent_at());
+        }
       }
     }
     for (const BackendCall& call : server.waiting) {
@@ -300,6 +402,10 @@
   impl_->Post(SetEndpointEvent{server, std::nullopt});
 }
 
+void BackendChannel::DropWaiting(const BackendServerId& server) {
+  impl_->Post(DropWaitingEvent{server});
+}
+
 void BackendChannel::Send(BackendCall call) {
   impl_->Post(std::move(call));
 }
--- a/libs/http/src/backend_connection.cc
+++ b/libs/http/src/backend_connection.cc
@@ -40,6 +40,12 @@
   result_ = {};
   result_.attempt = call.attempt;
   result_.server = call.server;
+  result_.service = call.service;
+  result_.rank = call.rank;
+  silent_at_.reset();
+  if (call.silence > Duration::zero()) {
+    silent_at_ = now + call.silence;
+  }
   reusable_ = reusable_ && !call.at_most_once;
   begun_ = now;
   abandoned_ = false;
@@ -88,6 +94,7 @@
   try {
     client.endExecute();
     result_.kind = BackendResultKind::kReply;
+    answered_before_ = true;
     result_.http_status = static_cast<int>(client.header().httpReturnCode());
     reusable_ = reusable_ && client.header().keepAlive();
     finished_ = true;
--- a/libs/node/include/gooseberryrock/node/query_engine.h
+++ b/libs/node/include/gooseberryrock/node/query_engine.h
@@ -6,13 +6,16 @@
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <vector>
 
 #include "gooseberryrock/base/ids.h"
 #include "gooseberryrock/http/backend_channel.h"
 #include "gooseberryrock/node/query_shard.h"
 #include "gooseberryrock/node/server_table.h"
+#include "gooseberryrock/node/service_gate.h"
 
 namespace gooseberryrock::directory {
 struct ServerRecord;
@@ -52,6 +55,10 @@
             const QueryShard::Work& work,
             const query::AttemptToSend& attempt);
   void FindNewerSnapshot(size_t shard, const QueryShard::Work& work);
+  // The gate of the service, up to date with `view`.
+  ServiceGate& EnterableGate(const std::shared_ptr<const ServiceView>& view);
+  ServiceGate& GateOf(const ServiceName& service);
+  uint32_t SlotsOfScarcestShard(const ServiceView& view) const;
   void OnResult(http::BackendResult result);
   QueryShard& ShardOfAttempt(query::AttemptId attempt);
 
@@ -62,6 +69,16 @@
   // Indexed like the shards of `servers_`.
   std::vector<std::unique_ptr<http::BackendChannel>> channels_;
   std::atomic<size_t> next_shard_ = 0;
+  // Nodes that share the servers' connection limits.
+  std::atomic<uint32_t> nodes_ = 1;
+
+  struct GateShard {
+    std::mutex mutex;
+    // Guarded by `mutex`; gates are never removed.
+    std::map<ServiceName, std::unique_ptr<ServiceGate>> gates;
+  };
+  // Indexed by the hash of the service name.
+  std::vector<std::unique_ptr<GateShard>> gates_;
 };
 
 }  // namespace gooseberryrock::node
--- a/libs/node/include/gooseberryrock/node/query_shard.h
+++ b/libs/node/include/gooseberryrock/node/query_shard.h
@@ -71,6 +71,8 @@
   Work Record(QueryNumber number,
               Running& running,
               query::QueryEffects effects);
+  // The lock is held.
+  query::AttemptBudget& BudgetOf(const ServiceName& service);
   void RunTimers();
 
   const WorkHandler on_work_;
--- a/libs/node/include/gooseberryrock/node/server_table.h
+++ b/libs/node/include/gooseberryrock/node/server_table.h
@@ -5,6 +5,7 @@
 #define GOOSEBERRYROCK_NODE_SERVER_TABLE_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -13,6 +14,7 @@
 
 #include "gooseberryrock/base/ids.h"
 #include "gooseberryrock/base/time.h"
+#include "gooseberryrock/query/server_stats.h"
 #include "gooseberryrock/query/server_view.h"
 
 namespace gooseberryrock::directory {
@@ -32,20 +34,26 @@
   // Empty when the server is not known.
   std::optional<query::ServerView> View(const BackendServerId& server) const;
 
-  void OnAttemptStarted(const BackendServerId& server);
-  // `service_time` is empty for an attempt that says nothing about it.
+  void OnAttemptStarted(const BackendServerId& server, SteadyTime now);
+  // As query::RecordAttemptEnd().
   void OnAttemptEnded(const BackendServerId& server,
-                      bool failed,
-                      std::optional<Duration> service_time);
+                      query::AttemptEnd end,
+                      Duration elapsed,
+                      Duration typical,
+                      SteadyTime now);
 
   // Index of the shard that `server` belongs to, in [0, shard_count).
   size_t ShardOf(const BackendServerId& server) const;
 
  private:
+  struct Entry {
+    query::ServerView view;
+    uint64_t incarnation = 0;
+  };
   struct Shard {
     mutable std::mutex mutex;
     // Guarded by `mutex`.
-    std::map<BackendServerId, query::ServerView> views;
+    std::map<BackendServerId, Entry> entries;
   };
 
   const FailureDomain own_failure_domain_;
--- a/libs/node/src/query_engine.cc
+++ b/libs/node/src/query_engine.cc
@@ -3,12 +3,14 @@
 #include "gooseberryrock/node/query_engine.h"
 
 #include <algorithm>
+#include <limits>
 #include <random>
 #include <string>
 #include <utility>
 #include <variant>
 
 #include "backend.pb.h"
+#include "gooseberryrock/base/hash.h"
 #include "gooseberryrock/directory/server_record.h"
 #include "gooseberryrock/node/service_views.h"
 #include "gooseberryrock/proto/convert_subquery.h"
@@ -78,6 +80,8 @@
       return query::AttemptFailure::kNotSent;
     case http::BackendResultKind::kLost:
       return query::AttemptFailure::kConnectionLost;
+    case http::BackendResultKind::kSilent:
+      return query::AttemptFailure::kConnectionSilent;
     case http::BackendResultKind::kReply:
       break;
   }
@@ -100,6 +104,35 @@
   return proto::FromMessage(message);
 }
 
+query::AttemptEnd EndOf(const Outcome& outcome) {
+  const auto* failure = std::get_if<query::AttemptFailure>(&outcome);
+  if (failure == nullptr) {
+    return query::AttemptEnd::kAnswered;
+  }
+  switch (*failure) {
+    case query::AttemptFailure::kConnectionSilent:
+      return query::AttemptEnd::kConnectionSilent;
+    case query::AttemptFailure::kNotSent:
+    case query::AttemptFailure::kRefused:
+      return query::AttemptEnd::kRefused;
+    case query::AttemptFailure::kNoSnapshot:
+    case query::AttemptFailure::kServerError:
+    case query::AttemptFailure::kConnectionLost:
+      break;
+  }
+  return query::AttemptEnd::kFailed;
+}
+
+std::string CancelBody(query::AttemptId attempt) {
+  proto::CancelRequest message;
+  message.set_attempt_id(attempt);
+  return proto::ToJson(message);
+}
+
+SteadyTime Now() {
+  return std::chrono::steady_clock::now();
+}
+
 }  // namespace
 
 QueryEngine::QueryEngine(const QueryEngineOptions& options,
@@ -113,6 +146,9 @@
         query::AttemptIdSource{base + i, n},
         [this, i](const QueryShard::Work& work) { CarryOut(i, work); }));
   }
+  for (size_t i = 0; i < n; ++i) {
+    gates_.push_back(std::make_unique<GateShard>());
+  }
   for (size_t i = 0; i < options.io_shards; ++i) {
     channels_.push_back(std::make_unique<http::BackendChannel>(
         [this](http::BackendResult result) { OnResult(std::move(result)); }));
@@ -140,8 +176,54 @@
           ? view->definition.row_limit
           : std::min(request.row_limit, view->definition.row_limit);
   state.plan = std::move(*plan);
+  ServiceGate& gate = EnterableGate(view);
+  Duration retry_after = Duration::zero();
+  auto policy = gate.Enter(request.rank, request.deadline, retry_after);
+  if (!policy) {
+    return query::NotRun(query::AnswerReason::kOverloaded, retry_after);
+  }
+  state.policy = *policy;
+  const SteadyTime started = Now();
   const size_t shard = next_shard_.fetch_add(1) % shards_.size();
-  return shards_[shard]->Run(std::move(state), std::move(view));
+  query::Answer answer = shards_[shard]->Run(std::move(state), std::move(view));
+  gate.Leave(request.rank, Now() - started);
+  return answer;
+}
+
+ServiceGate& QueryEngine::GateOf(const ServiceName& service) {
+  GateShard& shard = *gates_[Hash64(service.value) % gates_.size()];
+  std::lock_guard lock(shard.mutex);
+  auto& gate = shard.gates[service];
+  if (gate == nullptr) {
+    gate = std::make_unique<ServiceGate>();
+  }
+  return *gate;
+}
+
+ServiceGate& QueryEngine::EnterableGate(
+    const std::shared_ptr<const ServiceView>& view) {
+  ServiceGate& gate = GateOf(view->definition.name);
+  if (gate.IsOutdated(view)) {
+    gate.Update(view, SlotsOfScarcestShard(*view), nodes_);
+  }
+  return gate;
+}
+
+uint32_t QueryEngine::SlotsOfScarcestShard(const ServiceView& view) const {
+  if (view.routing.snapshots.empty()) {
+    return 1;
+  }
+  uint32_t fewest = std::numeric_limits<uint32_t>::max();
+  for (const auto& [shard, replicas] :
+       view.routing.snapshots.rbegin()->second) {
+    uint32_t slots = 0;
+    for (const BackendServerId& id : replicas) {
+      const auto server = servers_.View(id);
+      slots += server ? server->slots : 0;
+    }
+    fewest = std::min(fewest, slots);
+  }
+  return std::max(fewest, 1U);
 }
 
 void QueryEngine::OnServerChanged(const directory::ServerRecord& record,
@@ -152,8 +234,12 @@
     channel.RemoveEndpoint(record.id);
     return;
   }
+  nodes_ = std::max(record.connection_limit / std::max(connections, 1U), 1U);
   servers_.Put(record);
   channel.SetEndpoint(record.id, {record.host, record.port, connections});
+  if (record.state == directory::ServerState::kDraining) {
+    channel.DropWaiting(record.id);
+  }
 }
 
 void QueryEngine::CarryOut(size_t shard, const QueryShard::Work& work) {
@@ -161,11 +247,12 @@
     if (attempt.server.empty()) {
       continue;
     }
-    proto::CancelRequest message;
-    message.set_attempt_id(attempt.id);
-    servers_.OnAttemptEnded(attempt.server, /*failed=*/false, std::nullopt);
+    const SteadyTime now = Now();
+    servers_.OnAttemptEnded(
+        attempt.server, query::AttemptEnd::kCancelled, now - attempt.routed_at,
+        GateOf(work.request.service).TypicalSubquery(), now);
     channels_[servers_.ShardOf(attempt.server)]->Cancel(
-        attempt.server, attempt.id, proto::ToJson(message));
+        attempt.server, attempt.id, CancelBody(attempt.id));
   }
   for (const query::AttemptToSend& attempt : work.effects.send) {
     Send(shard, work, attempt);
@@ -205,18 +292,34 @@
   if (!shards_[shard]->OnAttemptRouted(attempt.id, server)) {
     return;
   }
-  servers_.OnAttemptStarted(server);
-  channels_[servers_.ShardOf(server)]->Send(
-      {attempt.id, server, "/v1/subquery",
-       SubqueryBody(work.request, attempt, std::chrono::steady_clock::now()),
-       attempt.deadline, !work.request.idempotent});
+  const SteadyTime now = Now();
+  servers_.OnAttemptStarted(server, now);
+  http::BackendCall call;
+  call.attempt = attempt.id;
+  call.server = server;
+  call.path = "/v1/subquery";
+  call.body = SubqueryBody(work.request, attempt, now);
+  call.deadline = attempt.deadline;
+  call.at_most_once = !work.request.idempotent;
+  call.service = work.request.service;
+  call.rank = work.request.rank;
+  if (work.request.idempotent) {
+    call.silence = GateOf(work.request.service).SilenceOf(work.request.rank);
+  }
+  call.window = query::SendWindow(candidates[*chosen]);
+  call.cancel_body = CancelBody(attempt.id);
+  channels_[servers_.ShardOf(server)]->Send(std::move(call));
 }
 
 void QueryEngine::OnResult(http::BackendResult result) {
   Outcome outcome = OutcomeOf(result);
-  const bool ok = std::holds_alternative<query::SubqueryReply>(outcome);
-  servers_.OnAttemptEnded(result.server, !ok,
-                          ok ? std::optional(result.elapsed) : std::nullopt);
+  const query::AttemptEnd end = EndOf(outcome);
+  ServiceGate& gate = GateOf(result.service);
+  servers_.OnAttemptEnded(result.server, end, result.elapsed,
+                          gate.TypicalSubquery(), Now());
+  if (end == query::AttemptEnd::kAnswered) {
+    gate.RecordSubquery(result.rank, result.elapsed);
+  }
   QueryShard& shard = ShardOfAttempt(result.attempt);
   if (auto* reply = std::get_if<query::SubqueryReply>(&outcome)) {
     shard.OnReply(std::move(*reply));
--- a/libs/node/src/query_shard.cc
+++ b/libs/node/src/query_shard.cc
@@ -38,7 +38,7 @@
   Work work =
       Record(number, running,
              query::StartQuery(running.state, ids_,
-                               budgets_[running.state.request.service], Now()));
+                               BudgetOf(running.state.request.service), Now()));
   lock.unlock();
   on_work_(work);
   lock.lock();
@@ -55,14 +55,15 @@
   if (it == attempts_.end()) {
     return false;
   }
-  return query::OnAttemptRouted(queries_.at(it->second).state, attempt, server);
+  return query::OnAttemptRouted(queries_.at(it->second).state, attempt, server,
+                                Now());
 }
 
 void QueryShard::OnReply(query::SubqueryReply reply) {
   const query::AttemptId attempt = reply.attempt;
   ApplyToAttempt(attempt, [&](Running& running) {
     return query::OnReply(running.state, std::move(reply), ids_,
-                          budgets_[running.state.request.service], Now());
+                          BudgetOf(running.state.request.service), Now());
   });
 }
 
@@ -79,7 +80,7 @@
                                  query::AttemptFailure failure) {
   ApplyToAttempt(attempt, [&](Running& running) {
     return query::OnAttemptFailed(running.state, attempt, failure, ids_,
-                                  budgets_[running.state.request.service],
+                                  BudgetOf(running.state.request.service),
                                   Now());
   });
 }
@@ -111,6 +112,13 @@
   on_work_(work);
 }
 
+query::AttemptBudget& QueryShard::BudgetOf(const ServiceName& service) {
+  // 5% of the first attempts for retries and hedges together.
+  constexpr query::AttemptBudget kBudget{
+      .share = 0.05, .capacity = 20, .tokens = 5};
+  return budgets_.try_emplace(service, kBudget).first->second;
+}
+
 QueryShard::Work QueryShard::Record(QueryNumber number,
                                     Running& running,
                                     query::QueryEffects effects) {
@@ -150,7 +158,7 @@
     lock.unlock();
     Apply(number, [this](Running& running) {
       return query::OnTimer(running.state, ids_,
-                            budgets_[running.state.request.service], Now());
+                            BudgetOf(running.state.request.service), Now());
     });
     lock.lock();
   }
--- a/libs/node/src/server_table.cc
+++ b/libs/node/src/server_table.cc
@@ -9,13 +9,6 @@
 
 namespace gooseberryrock::node {
 
-namespace {
-
-// Weight of the newest attempt in the moving estimates.
-constexpr double kEstimateWeight = 0.1;
-
-}  // namespace
-
 ServerTable::ServerTable(FailureDomain own_failure_domain, size_t shard_count)
     : own_failure_domain_(std::move(own_failure_domain)) {
   for (size_t i = 0; i < shard_count; ++i) {
@@ -26,7 +19,12 @@
 void ServerTable::Put(const directory::ServerRecord& record) {
   Shard& shard = *shards_[ShardOf(record.id)];
   std::lock_guard lock(shard.mutex);
-  query::ServerView& view = shard.views[record.id];
+  Entry& entry = shard.entries[record.id];
+  query::ServerView& view = entry.view;
+  if (record.incarnation > entry.incarnation) {
+    query::RecordRestart(view);
+    entry.incarnation = record.incarnation;
+  }
   view.id = record.id;
   view.own_failure_domain = record.failure_domain == own_failure_domain_;
   view.slots = record.slots;
@@ -35,50 +33,40 @@
 void ServerTable::Remove(const BackendServerId& server) {
   Shard& shard = *shards_[ShardOf(server)];
   std::lock_guard lock(shard.mutex);
-  shard.views.erase(server);
+  shard.entries.erase(server);
 }
 
 std::optional<query::ServerView> ServerTable::View(
     const BackendServerId& server) const {
   const Shard& shard = *shards_[ShardOf(server)];
   std::lock_guard lock(shard.mutex);
-  auto it = shard.views.find(server);
-  if (it == shard.views.end()) {
+  auto it = shard.entries.find(server);
+  if (it == shard.entries.end()) {
     return std::nullopt;
   }
-  return it->second;
+  return it->second.view;
 }
 
-void ServerTable::OnAttemptStarted(const BackendServerId& server) {
+void ServerTable::OnAttemptStarted(const BackendServerId& server,
+                                   SteadyTime now) {
   Shard& shard = *shards_[ShardOf(server)];
   std::lock_guard lock(shard.mutex);
-  auto it = shard.views.find(server);
-  if (it != shard.views.end()) {
-    ++it->second.outstanding;
+  auto it = shard.entries.find(server);
+  if (it != shard.entries.end()) {
+    query::RecordAttemptStart(it->second.view, now);
   }
 }
 
 void ServerTable::OnAttemptEnded(const BackendServerId& server,
-                                 bool failed,
-                                 std::optional<Duration> service_time) {
+                                 query::AttemptEnd end,
+                                 Duration elapsed,
+                                 Duration typical,
+                                 SteadyTime now) {
   Shard& shard = *shards_[ShardOf(server)];
   std::lock_guard lock(shard.mutex);
-  auto it = shard.views.find(server);
-  if (it == shard.views.end()) {
-    return;
-  }
-  query::ServerView& view = it->second;
-  if (view.outstanding > 0) {
-    --view.outstanding;
-  }
-  view.failure_rate += kEstimateWeight * ((failed ? 1 : 0) - view.failure_rate);
-  if (service_time) {
-    const Duration change = *service_time - view.service_time;
-    view.service_time =
-        view.service_time == Duration::zero()
-            ? *service_time
-            : view.service_time + std::chrono::duration_cast<Duration>(
-                                      kEstimateWeight * change);
+  auto it = shard.entries.find(server);
+  if (it != shard.entries.end()) {
+    query::RecordAttemptEnd(it->second.view, end, elapsed, typical, now);
   }
 }
 
--- a/libs/query/include/gooseberryrock/query/query_effects.h
+++ b/libs/query/include/gooseberryrock/query/query_effects.h
@@ -28,6 +28,7 @@
 struct AttemptToCancel {
   AttemptId id = 0;
   BackendServerId server;
+  SteadyTime routed_at;
 };
 
 struct QueryEffects {
--- a/libs/query/include/gooseberryrock/query/query_machine.h
+++ b/libs/query/include/gooseberryrock/query/query_machine.h
@@ -32,7 +32,8 @@
 // is no longer wanted; it must not be sent then.
 bool OnAttemptRouted(QueryState& state,
                      AttemptId attempt,
-                     const BackendServerId& server);
+                     const BackendServerId& server,
+                     SteadyTime now);
 
 // A reply with another shard or snapshot or without its end marker is never
 // merged; it is a failed attempt that may have run.
--- a/libs/query/include/gooseberryrock/query/query_state.h
+++ b/libs/query/include/gooseberryrock/query/query_state.h
@@ -25,6 +25,7 @@
   size_t shard = 0;
   // Empty until the attempt is routed.
   BackendServerId server;
+  SteadyTime routed_at;
 };
 
 struct ShardState {
--- a/libs/query/src/query_machine.cc
+++ b/libs/query/src/query_machine.cc
@@ -26,7 +26,7 @@
   ShardState& shard = state.shards[shard_index];
   const AttemptId id = ids.next;
   ids.next += ids.step;
-  state.attempts[id] = {shard_index, {}};
+  state.attempts[id] = {shard_index, {}, {}};
   ++shard.attempts_made;
   ++shard.attempts_open;
   return {id, shard.shard, state.plan.snapshot, shard.tried,
@@ -45,7 +45,7 @@
 
 void CancelAllAttempts(QueryState& state, QueryEffects& effects) {
   for (const auto& [id, attempt] : state.attempts) {
-    effects.cancel.push_back({id, attempt.server});
+    effects.cancel.push_back({id, attempt.server, attempt.routed_at});
   }
   state.attempts.clear();
 }
@@ -83,7 +83,8 @@
                       QueryEffects& effects) {
   for (auto it = state.attempts.begin(); it != state.attempts.end();) {
     if (it->second.shard == shard_index) {
-      effects.cancel.push_back({it->first, it->second.server});
+      effects.cancel.push_back(
+          {it->first, it->second.server, it->second.routed_at});
       it = state.attempts.erase(it);
     } else {
       ++it;
@@ -165,12 +166,14 @@
 
 bool OnAttemptRouted(QueryState& state,
                      AttemptId attempt,
-                     const BackendServerId& server) {
+                     const BackendServerId& server,
+                     SteadyTime now) {
   auto it = state.attempts.find(attempt);
   if (it == state.attempts.end()) {
     return false;
   }
   it->second.server = server;
+  it->second.routed_at = now;
   state.shards[it->second.shard].tried.push_back(server);
   return true;
 }
@@ -217,11 +220,16 @@
   }
   const size_t shard_index = it->second.shard;
   const bool routed = !it->second.server.empty();
-  state.attempts.erase(it);
   ShardState& shard = state.shards[shard_index];
+  if (failure == AttemptFailure::kConnectionSilent) {
+    // Says nothing about the server: it may be used again on a new connection.
+    std::erase(shard.tried, it->second.server);
+    --shard.attempts_made;
+  }
+  state.attempts.erase(it);
   --shard.attempts_open;
   // A retry that found no further server does not hide why the first failed.
-  if (routed || shard.attempts_made == 1) {
+  if (routed || shard.attempts_made <= 1) {
     shard.last_failure = failure;
   }
   shard.may_have_run = shard.may_have_run || MayHaveRun(failure);
--- a/tests/query/query_machine_test.cc
+++ b/tests/query/query_machine_test.cc
@@ -42,7 +42,7 @@
 
   QueryEffects Routed(QueryEffects effects) {
     for (const AttemptToSend& it : effects.send) {
-      OnAttemptRouted(state, it.id, {"server" + std::to_string(it.id)});
+      OnAttemptRouted(state, it.id, {"server" + std::to_string(it.id)}, now);
     }
     return effects;
   }
@@ -269,7 +269,7 @@
   EXPECT_TRUE(done.cancel[0].server.empty());
   ASSERT_TRUE(done.answer);
   EXPECT_EQ(done.answer->status, AnswerStatus::kNotRun);
-  EXPECT_FALSE(OnAttemptRouted(state, started.send[0].id, {"late"}));
+  EXPECT_FALSE(OnAttemptRouted(state, started.send[0].id, {"late"}, now));
 }
 
 // Guards against a retry storm while every server fails.
--- a/tests/query/simulation.cc
+++ b/tests/query/simulation.cc
@@ -275,7 +275,7 @@
                         node.ids, node.budget, now_));
     return;
   }
-  OnAttemptRouted(it->second.state, attempt.id, {std::to_string(*s)});
+  OnAttemptRouted(it->second.state, attempt.id, {std::to_string(*s)}, now_);
   RecordAttemptStart(node.views[*s], now_);
   ++attempts;
   node.attempts[attempt.id] = {query, *s, it->second.rank, now_,
