--- a/tests/query/fault_matrix_test.cc
+++ b/tests/query/fault_matrix_test.cc
@@ -53,8 +53,7 @@
 // shards answer.
 class MatrixRun {
  public:
-  MatrixRun(bool idempotent, std::array<Injected, 2> faults)
-      : faults_(faults) {
+  MatrixRun(bool idempotent, std::array<Injected, 2> faults) : faults_(faults) {
     state_.request.idempotent = idempotent;
     state_.request.row_limit = 100;
     state_.request.deadline = now_ + milliseconds(200);
@@ -69,7 +68,7 @@
     }
     Carry(StartQuery(state_, ids_, budget_, now_));
     // What is still open runs into the hedge and then into the deadline.
-    for (const milliseconds time : {20, 195}) {
+    for (const milliseconds time : {milliseconds(20), milliseconds(195)}) {
       if (!answer_) {
         now_ = state_.started + time;
         Carry(OnTimer(state_, ids_, budget_, now_));
@@ -132,8 +131,8 @@
                                   state_.request.deadline, now_);
     if (queued && effects.refuse.empty()) {
       now_ += milliseconds(faults_[0].fault == Fault::kDeadline ? 300 : 10);
-      effects =
-          OnQueryEnded(admission, policy, Rank::kUrgent, milliseconds(10), now_);
+      effects = OnQueryEnded(admission, policy, Rank::kUrgent, milliseconds(10),
+                             now_);
     }
     return !effects.start.empty();
   }
@@ -165,8 +164,12 @@
   void Reply(const AttemptToSend& it, Snapshot snapshot, bool end) {
     open_.erase(it.id);
     Carry(OnReply(state_,
-                  {it.id, it.shard, snapshot,
-                   {std::to_string(snapshot.index_version)}, true, end},
+                  {it.id,
+                   it.shard,
+                   snapshot,
+                   {std::to_string(snapshot.index_version)},
+                   true,
+                   end},
                   ids_, budget_, now_));
   }
 
@@ -176,8 +179,8 @@
       met = faults_[next_fault_++];
     }
     const bool runs = met.step >= Step::kSent || met.fault == Fault::kNone;
-    const bool refused = met.fault == Fault::kRefused ||
-                         met.fault == Fault::kSnapshotLost;
+    const bool refused =
+        met.fault == Fault::kRefused || met.fault == Fault::kSnapshotLost;
     if (runs && !refused) {
       ++executions_;
     }
