query: a silent connection's attempt is free to be sent again

Cause: attempts on dead connections used up the three attempts of a shard. Change: a silent connection does not count as an attempt and leaves its server usable; the server's cost rises as for an overtaken attempt. Ruled out: a fill limit of 0.25 for the least urgent rank (its own wait then sets the overall p99); forgetting overtaken attempts faster.

--- a/libs/node/include/gooseberryrock/node/query_engine.h
+++ b/libs/node/include/gooseberryrock/node/query_engine.h
@@ -59,7 +59,7 @@
   ServiceGate& EnterableGate(const std::shared_ptr<const ServiceView>& view);
   ServiceGate& GateOf(const ServiceName& service);
   uint32_t SlotsOfScarcestShard(const ServiceView& view) const;
-  void OnResult(http::BackendResult result);
+  void OnResult(const http::BackendResult& result);
   QueryShard& ShardOfAttempt(query::AttemptId attempt);
 
   const ServiceViews& views_;
--- a/libs/node/src/query_engine.cc
+++ b/libs/node/src/query_engine.cc
@@ -151,7 +151,7 @@
   }
   for (size_t i = 0; i < options.io_shards; ++i) {
     channels_.push_back(std::make_unique<http::BackendChannel>(
-        [this](http::BackendResult result) { OnResult(std::move(result)); }));
+        [this](const http::BackendResult& result) { OnResult(result); }));
   }
 }
 
@@ -311,7 +311,7 @@
   channels_[servers_.ShardOf(server)]->Send(std::move(call));
 }
 
-void QueryEngine::OnResult(http::BackendResult result) {
+void QueryEngine::OnResult(const http::BackendResult& result) {
   Outcome outcome = OutcomeOf(result);
   const query::AttemptEnd end = EndOf(outcome);
   ServiceGate& gate = GateOf(result.service);
--- a/libs/query/include/gooseberryrock/query/server_stats.h
+++ b/libs/query/include/gooseberryrock/query/server_stats.h
@@ -18,7 +18,8 @@
   kFailed,
   // No answer was waited for; the elapsed time is a lower bound.
   kCancelled,
-  // The connection stopped responding. It says nothing about the server.
+  // The connection stopped responding. Not a failure of the server, but as slow
+  // as a cancelled attempt until a new connection answers.
   kConnectionSilent,
 };
 
--- a/libs/query/src/query_machine.cc
+++ b/libs/query/src/query_machine.cc
@@ -222,7 +222,8 @@
   const bool routed = !it->second.server.empty();
   ShardState& shard = state.shards[shard_index];
   if (failure == AttemptFailure::kConnectionSilent) {
-    // Says nothing about the server: it may be used again on a new connection.
+    // Not an attempt that the server failed: it may be used again on a new
+    // connection. The rate of replacements limits how often this happens.
     std::erase(shard.tried, it->second.server);
     --shard.attempts_made;
   }
--- a/libs/query/src/server_stats.cc
+++ b/libs/query/src/server_stats.cc
@@ -21,8 +21,6 @@
 constexpr Duration kLongestAvoidance = std::chrono::seconds(1);
 constexpr uint32_t kMostDoublings = 5;
 constexpr double kOvertakenWeight = 0.2;
-// A reply in typical time shows that a stall is over.
-constexpr double kOvertakenForget = 0.5;
 // The window shrinks after a reply that took longer than this many times the
 // typical time, which 1 in 50 replies of a healthy server does.
 constexpr double kSlowReply = 3;
@@ -45,7 +43,7 @@
       typical > Duration::zero() && elapsed > kSlowReply * typical;
   view.window = slow ? std::max(view.window * kWindowShrink, 1.0)
                      : std::min(view.window + 1 / view.window, kMaxWindow);
-  view.overtaken_rate *= slow ? 1 - kOvertakenWeight : kOvertakenForget;
+  view.overtaken_rate -= kOvertakenWeight * view.overtaken_rate;
   RecordSample(view, elapsed);
   view.failure_rate -= kFailureWeight * view.failure_rate;
   view.failures_in_a_row = 0;
@@ -86,13 +84,12 @@
       RecordFailure(view, now);
       break;
     case AttemptEnd::kCancelled:
+    case AttemptEnd::kConnectionSilent:
       if (elapsed > view.service_time) {
         RecordSample(view, elapsed);
         view.overtaken_rate += kOvertakenWeight * (1 - view.overtaken_rate);
       }
       break;
-    case AttemptEnd::kConnectionSilent:
-      break;
   }
   view.last_heard = now;
 }
--- a/tests/query/simulation.cc
+++ b/tests/query/simulation.cc
@@ -3,6 +3,7 @@
 #include "simulation.h"
 
 #include <algorithm>
+#include <cmath>
 #include <string>
 #include <utility>
 
@@ -166,7 +167,7 @@
 void Simulation::StartFromFifo(size_t n) {
   Node& node = nodes[n];
   const auto slots =
-      static_cast<size_t>(PoliciesOf(node).admission.slots + 0.5);
+      static_cast<size_t>(std::lround(PoliciesOf(node).admission.slots));
   while (!node.fifo.empty() && node.queries.size() < slots) {
     const uint64_t ticket = node.fifo.front();
     node.fifo.pop_front();
