--- a/libs/query/src/server_stats.cc
+++ b/libs/query/src/server_stats.cc
@@ -84,13 +84,12 @@
       RecordFailure(view, now);
       break;
     case AttemptEnd::kCancelled:
+    case AttemptEnd::kConnectionSilent:
       if (elapsed > view.service_time) {
         RecordSample(view, elapsed);
         view.overtaken_rate += kOvertakenWeight * (1 - view.overtaken_rate);
       }
       break;
-    case AttemptEnd::kConnectionSilent:
-      break;
   }
   view.last_heard = now;
 }
--- a/tests/query/simulation.cc
+++ b/tests/query/simulation.cc
@@ -3,6 +3,7 @@
 #include "simulation.h"
 
 #include <algorithm>
+#include <cmath>
 #include <string>
 #include <utility>
 
@@ -166,7 +167,7 @@
 void Simulation::StartFromFifo(size_t n) {
   Node& node = nodes[n];
   const auto slots =
-      static_cast<size_t>(PoliciesOf(node).admission.slots + 0.5);
+      static_cast<size_t>(std::lround(PoliciesOf(node).admission.slots));
   while (!node.fifo.empty() && node.queries.size() < slots) {
     const uint64_t ticket = node.fifo.front();
     node.fifo.pop_front();
@@ -275,7 +276,7 @@
                         node.ids, node.budget, now_));
     return;
   }
-  OnAttemptRouted(it->second.state, attempt.id, {std::to_string(*s)});
+  OnAttemptRouted(it->second.state, attempt.id, {std::to_string(*s)}, now_);
   RecordAttemptStart(node.views[*s], now_);
   ++attempts;
   node.attempts[attempt.id] = {query, *s, it->second.rank, now_,
