--- a/libs/directory/include/gooseberryrock/directory/directory.h
+++ b/libs/directory/include/gooseberryrock/directory/directory.h
@@ -36,6 +36,9 @@
   uint64_t changed_at = 0;
   // Node that sent the record; empty when this node changed it last.
   NodeId learned_from;
+  // The owner before the present one, or empty. It must hear of the change, or
+  // it declares the server gone, so every node relays the record to it.
+  NodeId previous_owner;
   // Start of the expiry period while this node is the owner. Lies in the future
   // while the period is extended.
   SteadyTime renewed_at;
--- a/libs/directory/include/gooseberryrock/directory/directory_exchange.h
+++ b/libs/directory/include/gooseberryrock/directory/directory_exchange.h
@@ -86,12 +86,22 @@
   uint64_t digest_round = 0;
 };
 
+// A node with which another one exchanges deltas, heartbeats and digests.
+struct ExchangePeer {
+  NodeId node;
+  // Whether the peer also gets the changes learned from other nodes. Changes of
+  // ownership are relayed to the previous owner in any case.
+  bool relay = true;
+
+  auto operator<=>(const ExchangePeer&) const = default;
+};
+
 // The changes that `peer` has not got yet, without those that it sent itself.
 // Several changes of a record are sent as one. Nothing when there are none;
 // call again until then, since one delta holds at most kMaxDeltaBytes.
 std::optional<DirectoryDelta> TakeDelta(const Directory& directory,
                                         DirectoryExchange& exchange,
-                                        const NodeId& peer);
+                                        const ExchangePeer& peer);
 
 // The change count for a heartbeat to `peer`.
 uint64_t SentCount(const DirectoryExchange& exchange, const NodeId& peer);
@@ -135,17 +145,24 @@
                                      const NodeId& from,
                                      SteadyTime now);
 
-// The nodes with which `self` exchanges deltas, heartbeats and digests: all up
-// to kFullMeshNodes, else those at distances of 1, 4, 16, ... in both
-// directions of the ring of sorted ids, so that a change crosses a ring of
-// 2,300 nodes in at most ten steps while each node has twelve neighbours.
-// Symmetric.
-std::vector<NodeId> ExchangePeers(const std::set<NodeId>& nodes,
-                                  const NodeId& self);
-
-// The peers that get a digest in this round.
-std::vector<NodeId> TakeDigestPeers(DirectoryExchange& exchange,
-                                    const std::vector<NodeId>& peers);
+// The nodes with which `self` exchanges deltas, heartbeats and digests.
+//
+// Up to kFullMeshNodes these are all others, and each change is relayed to two
+// of them, at distances of 1 and half the nodes on the ring of sorted ids: a
+// node that is cut off from the owner of a record gets it from two others, and
+// relaying to all would send each change to each node once from each other.
+//
+// Above, they are the nodes at distances of 1, 4, 16, ... in both directions of
+// the ring, and all get everything, so that a change crosses a ring of 2,300
+// nodes in at most ten steps while each node has twelve neighbours.
+//
+// Symmetric but for `relay`.
+std::vector<ExchangePeer> ExchangePeers(const std::set<NodeId>& nodes,
+                                        const NodeId& self);
+
+// Which of `peer_count` peers get a digest in this round, by position.
+std::vector<size_t> TakeDigestPeers(DirectoryExchange& exchange,
+                                    size_t peer_count);
 
 }  // namespace gooseberryrock::directory
 
--- a/libs/directory/src/directory.cc
+++ b/libs/directory/src/directory.cc
@@ -130,6 +130,9 @@
   }
   const bool is_gone = record.state == ServerState::kGone;
   DirectoryEntry& entry = directory.entries[record.id];
+  if (entry.record.owner != record.owner) {
+    entry.previous_owner = entry.record.owner;
+  }
   entry.hash = RecordHash(record);
   entry.record = std::move(record);
   entry.changed_at = ++directory.change_count;
--- a/libs/directory/src/directory_exchange.cc
+++ b/libs/directory/src/directory_exchange.cc
@@ -102,8 +102,8 @@
 
 std::optional<DirectoryDelta> TakeDelta(const Directory& directory,
                                         DirectoryExchange& exchange,
-                                        const NodeId& peer) {
-  PeerProgress& progress = exchange.peers[peer];
+                                        const ExchangePeer& peer) {
+  PeerProgress& progress = exchange.peers[peer.node];
   DirectoryDelta delta;
   delta.from = progress.sent;
   size_t size = 0;
@@ -111,7 +111,9 @@
   for (; it != directory.changes.end() && size < kMaxDeltaBytes; ++it) {
     progress.considered = it->first;
     const DirectoryEntry& entry = directory.entries.at(it->second);
-    if (entry.learned_from != peer) {
+    const bool is_own = entry.learned_from.empty();
+    const bool relay = peer.relay || entry.previous_owner == peer.node;
+    if (is_own || (relay && entry.learned_from != peer.node)) {
       size += EstimatedSize(entry.record);
       delta.records.push_back(entry.record);
     }
@@ -251,36 +253,39 @@
   return changed;
 }
 
-std::vector<NodeId> ExchangePeers(const std::set<NodeId>& nodes,
-                                  const NodeId& self) {
+std::vector<ExchangePeer> ExchangePeers(const std::set<NodeId>& nodes,
+                                        const NodeId& self) {
   const std::vector<NodeId> ring(nodes.begin(), nodes.end());
-  auto it = std::find(ring.begin(), ring.end(), self);
+  const auto it = std::find(ring.begin(), ring.end(), self);
   if (it == ring.end()) {
     return {};
   }
   const size_t n = ring.size();
   const size_t position = it - ring.begin();
-  std::set<NodeId> peers;
+  std::vector<ExchangePeer> peers;
   if (n <= kFullMeshNodes) {
-    peers = nodes;
-  } else {
-    for (size_t distance = 1; distance <= n / 2; distance *= 4) {
-      peers.insert(ring[(position + distance) % n]);
-      peers.insert(ring[(position + n - distance) % n]);
+    for (size_t distance = 1; distance < n; ++distance) {
+      peers.push_back({ring[(position + distance) % n],
+                       distance == 1 || distance == n / 2});
+    }
+    return peers;
+  }
+  for (size_t distance = 1; distance <= n / 2; distance *= 4) {
+    peers.push_back({ring[(position + distance) % n], true});
+    if (2 * distance != n) {
+      peers.push_back({ring[(position + n - distance) % n], true});
     }
   }
-  peers.erase(self);
-  return {peers.begin(), peers.end()};
+  return peers;
 }
 
-std::vector<NodeId> TakeDigestPeers(DirectoryExchange& exchange,
-                                    const std::vector<NodeId>& peers) {
-  std::vector<NodeId> chosen;
-  const size_t n = std::min(kDigestPeers, peers.size());
-  for (size_t i = 0; i < n; ++i) {
-    chosen.push_back(peers[exchange.digest_round++ % peers.size()]);
+std::vector<size_t> TakeDigestPeers(DirectoryExchange& exchange,
+                                    size_t peer_count) {
+  std::vector<size_t> positions;
+  for (size_t n = 0; n < std::min(kDigestPeers, peer_count); ++n) {
+    positions.push_back(exchange.digest_round++ % peer_count);
   }
-  return chosen;
+  return positions;
 }
 
 }  // namespace gooseberryrock::directory
--- a/tests/directory/directory_simulation.cc
+++ b/tests/directory/directory_simulation.cc
@@ -2,6 +2,8 @@
 
 #include "directory_simulation.h"
 
+#include <algorithm>
+
 #include "gooseberryrock/directory/merge_record.h"
 
 namespace gooseberryrock::directory {
@@ -26,6 +28,17 @@
     nodes[i].id.value = "node-" + std::to_string(i);
     nodes[i].domain.value = domains.substr(i % domains.size(), 1);
   }
+  std::set<NodeId> ids;
+  std::map<NodeId, size_t> indices;
+  for (size_t i = 0; i < node_count; ++i) {
+    ids.insert(nodes[i].id);
+    indices[nodes[i].id] = i;
+  }
+  for (SimulatedNode& node : nodes) {
+    for (const ExchangePeer& peer : ExchangePeers(ids, node.id)) {
+      node.peers.emplace_back(indices.at(peer.node), peer);
+    }
+  }
   for (size_t i = 0; i < server_count; ++i) {
     ServerRecord& record = servers[i].record;
     record.id.value = "server-" + std::to_string(i);
@@ -63,7 +76,12 @@
 
 void DirectorySimulation::StartNode(size_t node) {
   SimulatedNode& it = nodes[node];
-  it = {it.id, it.domain, true, it.incarnation + 1, {}, {}, {}, {}, {}, 0};
+  SimulatedNode fresh;
+  fresh.id = it.id;
+  fresh.domain = it.domain;
+  fresh.incarnation = it.incarnation + 1;
+  fresh.peers = it.peers;
+  it = std::move(fresh);
 }
 
 void DirectorySimulation::StopServer(size_t server) {
@@ -98,6 +116,9 @@
   ++messages;
   const SimulatedMessage message{from, to, nodes[from].incarnation,
                                  std::move(body)};
+  if (on_send) {
+    on_send(message);
+  }
   for (int copies = Chance(duplication) ? 2 : 1; copies > 0; --copies) {
     if (!Chance(loss) && !cut_nodes.contains({from, to}) &&
         !IsCut(nodes[from].domain, nodes[to].domain)) {
@@ -171,31 +192,24 @@
 
 void DirectorySimulation::Tick(size_t index) {
   SimulatedNode& node = nodes[index];
-  std::set<NodeId> ids;
-  std::map<NodeId, size_t> indices;
-  for (size_t i = 0; i < nodes.size(); ++i) {
-    ids.insert(nodes[i].id);
-    indices[nodes[i].id] = i;
-  }
-  const auto peers = ExchangePeers(ids, node.id);
   const uint64_t phase = step_ + index;
   if (phase % kDeltaSteps == 0) {
     DecideOwnership(node);
     RemoveGone(node.directory, now_);
-    for (const NodeId& peer : peers) {
+    for (const auto& [to, peer] : node.peers) {
       while (auto delta = TakeDelta(node.directory, node.exchange, peer)) {
-        Send(index, indices.at(peer), *delta);
+        Send(index, to, *delta);
       }
     }
   }
   if (phase % kHeartbeatSteps == 0) {
-    for (const NodeId& peer : peers) {
-      Send(index, indices.at(peer), Heartbeat{SentCount(node.exchange, peer)});
+    for (const auto& [to, peer] : node.peers) {
+      Send(index, to, Heartbeat{SentCount(node.exchange, peer.node)});
     }
   }
   if (phase % kDigestSteps == 0) {
-    for (const NodeId& peer : TakeDigestPeers(node.exchange, peers)) {
-      Send(index, indices.at(peer), MakeRootDigest(node.directory));
+    for (size_t n : TakeDigestPeers(node.exchange, node.peers.size())) {
+      Send(index, node.peers[n].first, MakeRootDigest(node.directory));
     }
   }
 }
--- a/tests/directory/directory_simulation.h
+++ b/tests/directory/directory_simulation.h
@@ -4,6 +4,7 @@
 #define GOOSEBERRYROCK_TESTS_DIRECTORY_DIRECTORY_SIMULATION_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <random>
 #include <set>
@@ -41,6 +42,8 @@
   // Highest (incarnation, state) seen of each server since the node started.
   std::map<BackendServerId, std::pair<uint64_t, ServerState>> highest;
   uint64_t checked_up_to = 0;
+  // The nodes that this one exchanges with, by index.
+  std::vector<std::pair<size_t, ExchangePeer>> peers;
 };
 
 struct SimulatedServer {
@@ -81,6 +84,8 @@
   std::vector<SimulatedNode> nodes;
   std::vector<SimulatedServer> servers;
   uint64_t messages = 0;
+  // Called for each message that is sent.
+  std::function<void(const SimulatedMessage&)> on_send;
   // States that went back, and expiry by a node that is not the owner.
   uint64_t violations = 0;
   // Running servers that were marked gone less than 2 s after a running node
--- a/tests/directory/directory_test.cc
+++ b/tests/directory/directory_test.cc
@@ -161,12 +161,16 @@
     record.sequence = sequence;
     AcceptAnnouncement(directory, record, kA, kStart);
   }
-  const auto delta = TakeDelta(directory, exchange, kB);
+  const auto delta = TakeDelta(directory, exchange, {kB, true});
   ASSERT_TRUE(delta);
   ASSERT_EQ(delta->records.size(), 1U);
   EXPECT_EQ(delta->records[0].sequence, 3U);
-  EXPECT_FALSE(TakeDelta(directory, exchange, kB));
-  EXPECT_EQ(TakeDelta(directory, exchange, {"c"})->records.size(), 2U);
+  EXPECT_FALSE(TakeDelta(directory, exchange, {kB, true}));
+  const auto records_for = [&](const ExchangePeer& peer) {
+    return TakeDelta(directory, exchange, peer)->records.size();
+  };
+  EXPECT_EQ(records_for({{"c"}, true}), 2U);
+  EXPECT_EQ(records_for({{"d"}, false}), 1U);
 }
 
 // Guards against a lost delta that is repaired only by a digest.
@@ -175,40 +179,43 @@
   DirectoryExchange at_a;
   DirectoryExchange at_b;
   AcceptAnnouncement(directory, Server("1"), kA, kStart);
-  TakeDelta(directory, at_a, kB);
+  TakeDelta(directory, at_a, {kB, true});
   const auto pull = OnChangeSpan(at_b, kA, 1, SentCount(at_a, kB), 1);
   ASSERT_TRUE(pull);
   OnPull(directory, at_a, kB, *pull);
-  const auto again = TakeDelta(directory, at_a, kB);
+  const auto again = TakeDelta(directory, at_a, {kB, true});
   ASSERT_TRUE(again);
   EXPECT_FALSE(OnChangeSpan(at_b, kA, 1, again->from, again->to));
 }
 
 // Guards against neighbours that do not know of each other, and against nodes
-// that a change does not reach in time.
+// that a change does not reach in time by relaying alone.
 TEST(DirectoryTest, ExchangePeersAreSymmetricAndNear) {
-  for (size_t n : {1, 2, 16, 17, 100, 2300}) {
+  for (size_t n : {1, 2, 3, 4, 16, 17, 32, 100, 2300}) {
     std::set<NodeId> nodes;
     for (size_t i = 0; i < n; ++i) {
       nodes.insert({std::to_string(i)});
     }
-    std::map<NodeId, std::vector<NodeId>> peers;
+    std::set<std::pair<NodeId, NodeId>> links;
+    std::map<NodeId, std::vector<NodeId>> relays;
     for (const NodeId& node : nodes) {
-      peers[node] = ExchangePeers(nodes, node);
-      EXPECT_LE(peers[node].size(), kFullMeshNodes - 1);
+      const auto peers = ExchangePeers(nodes, node);
+      EXPECT_LE(peers.size(), kFullMeshNodes - 1);
+      for (const ExchangePeer& peer : peers) {
+        ASSERT_TRUE(links.insert({node, peer.node}).second);
+        if (peer.relay) {
+          relays[node].push_back(peer.node);
+        }
+      }
+    }
+    for (const auto& [from, to] : links) {
+      ASSERT_TRUE(links.contains({to, from}));
     }
     std::set<NodeId> reached{*nodes.begin()};
-    int steps = 0;
-    for (; reached.size() < n; ++steps) {
+    for (int steps = 0; reached.size() < n; ++steps) {
       ASSERT_LT(steps, 10);
       for (const NodeId& node : std::set<NodeId>(reached)) {
-        reached.insert(peers[node].begin(), peers[node].end());
-      }
-    }
-    for (const auto& [node, neighbours] : peers) {
-      for (const NodeId& neighbour : neighbours) {
-        const auto& back = peers[neighbour];
-        ASSERT_NE(std::find(back.begin(), back.end(), node), back.end());
+        reached.insert(relays[node].begin(), relays[node].end());
       }
     }
   }
