--- a/libs/consensus/src/election.cc
+++ b/libs/consensus/src/election.cc
@@ -195,7 +195,8 @@
       now < state.votes_refused_until ||
       (HearsLeader(state, now) && !request.leadership_transfer);
   const bool rolled_back = IsRolledBack(state, message, request.acknowledged);
-  if (rolled_back) {
+  // A pre-vote request may have been sent before the acknowledgement.
+  if (rolled_back && !request.pre_vote) {
     ReportRolledBack(state, message, message.term, effects);
   }
   const bool acceptable = !not_now && !rolled_back &&
