--- /dev/null
+++ b/tests/consensus/consensus_test.cc
@@ -0,0 +1,145 @@
+// Single decisions of the replicated log.
+
+#include "gooseberryrock/consensus/consensus.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <iostream>
+
+#include "simulated_cluster.h"
+
+namespace gooseberryrock::consensus {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A cluster with a leader and load.
+SimulatedCluster& Settle(SimulatedCluster& cluster) {
+  consensus::Run(cluster, milliseconds(3500));
+  return cluster;
+}
+
+Message MakeVoteRequest(const ConsensusState& to, bool pre_vote) {
+  Message message;
+  message.from = NodeId{to.self == NodeId{"a"} ? "b" : "a"};
+  message.to = to.self;
+  message.term = to.hard_state.term + 1;
+  message.from_storage_id = to.membership.members.at(message.from).storage_id;
+  message.to_storage_id = to.storage_id;
+  VoteRequest request;
+  request.pre_vote = pre_vote;
+  request.last = {message.term, 1000000};
+  request.acknowledged = {message.term, 1000000};
+  message.body = request;
+  return message;
+}
+
+bool GrantsVote(ConsensusState state, bool pre_vote, SteadyTime now) {
+  std::mt19937_64 random(1);
+  Effects effects =
+      HandleMessage(state, MakeVoteRequest(state, pre_vote), now, random);
+  for (auto* messages : {&effects.send_at_once, &effects.send_after_sync}) {
+    for (const Message& message : *messages) {
+      const auto* reply = std::get_if<VoteReply>(&message.body);
+      if (reply != nullptr && reply->granted) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+// Guards against a stale read: the lease must end, also on a clock that is 10%
+// slow, before a follower votes for another leader.
+TEST(ConsensusTest, LeaseEndsBeforeFollowersVote) {
+  SimulatedCluster cluster(3, 1);
+  const NodeId leader = *FindLeader(Settle(cluster));
+  const ConsensusState& state = cluster.vms.at(leader).state;
+  SteadyTime confirmed;
+  for (const auto& [node, progress] : state.progress) {
+    confirmed = std::max(confirmed, *progress.confirmed);
+  }
+  EXPECT_TRUE(HasLease(state, confirmed + milliseconds(539)));
+  EXPECT_FALSE(HasLease(state, confirmed + milliseconds(540)));
+  for (const auto& [node, vm] : cluster.vms) {
+    if (node != leader) {
+      const SteadyTime heard = *vm.state.leader_heard;
+      for (bool pre_vote : {false, true}) {
+        EXPECT_FALSE(GrantsVote(vm.state, pre_vote, heard + milliseconds(599)));
+        EXPECT_TRUE(GrantsVote(vm.state, pre_vote, heard + milliseconds(600)));
+      }
+    }
+  }
+}
+
+// Guards against a vote by a VM that forgot in a restart that it heard from a
+// leader, or that its disk forgot a vote.
+TEST(ConsensusTest, RefusesVotesAfterStart) {
+  SimulatedCluster cluster(3, 1);
+  Settle(cluster);
+  std::mt19937_64 random(1);
+  SimulatedVm& vm = cluster.vms.at({"c"});
+  const ConsensusState state =
+      StartConsensus(vm.id, vm.disk.storage_id, vm.disk.stored, cluster.config,
+                     cluster.now, random);
+  EXPECT_FALSE(GrantsVote(state, false, cluster.now + milliseconds(1199)));
+  EXPECT_TRUE(GrantsVote(state, false, cluster.now + milliseconds(1200)));
+}
+
+// Guards against two memberships in force whose majorities do not overlap.
+TEST(ConsensusTest, SecondMembershipChangeWaitsForTheFirst) {
+  SimulatedCluster cluster(3, 1);
+  ConsensusState state = cluster.vms.at(*FindLeader(Settle(cluster))).state;
+  const auto add = [&](const char* node) {
+    const MembershipChange change = {
+        1, MembershipAction::kAddLearner, {node}, "disk", "address"};
+    const Effects effects = ChangeMembership(state, change, cluster.now);
+    return effects.outcomes.empty() ? RejectReason::kNone
+                                    : effects.outcomes.front().reason;
+  };
+  EXPECT_EQ(add("x"), RejectReason::kNone);
+  EXPECT_EQ(add("y"), RejectReason::kChangeInProgress);
+  const MembershipChange promote = {
+      2, MembershipAction::kPromote, {"x"}, "", ""};
+  state.commit_index = state.membership_index;
+  EXPECT_EQ(
+      ChangeMembership(state, promote, cluster.now).outcomes.front().reason,
+      RejectReason::kNotCaughtUp);
+}
+
+// How long no proposal is answered, from now on.
+Duration Gap(SimulatedCluster& cluster) {
+  const SteadyTime begin = cluster.now;
+  const uint64_t answered = cluster.last_answered_index;
+  while (cluster.last_answered_index == answered &&
+         cluster.now - begin < seconds(10)) {
+    Run(cluster, seconds(1), 1);
+  }
+  return cluster.now - begin;
+}
+
+// Guards against a cluster that stays without a leader for too long.
+TEST(ConsensusTest, LeaderIsReplacedInTime) {
+  Duration longest_kill = {};
+  Duration longest_transfer = {};
+  for (uint64_t seed = 1; seed <= 100; ++seed) {
+    SimulatedCluster killed(3, seed);
+    CrashVm(killed, *FindLeader(Settle(killed)), std::nullopt);
+    longest_kill = std::max(longest_kill, Gap(killed));
+    SimulatedCluster stopped(3, seed);
+    Settle(stopped);
+    Schedule(stopped, {FaultKind::kTransfer, true, {}, {}});
+    consensus::Run(stopped, milliseconds(1));
+    longest_transfer = std::max(longest_transfer, Gap(stopped));
+  }
+  std::cout << "longest gap after a kill " << longest_kill / milliseconds(1)
+            << " ms, after a transfer " << longest_transfer / milliseconds(1)
+            << " ms\n";
+  EXPECT_LE(longest_kill, seconds(3));
+  EXPECT_LE(longest_transfer, milliseconds(500));
+}
+
+}  // namespace
+}  // namespace gooseberryrock::consensus
