standin: wait after a failed accept

Cause: without free descriptors accept() fails at once, and the acceptor thread used a whole core until one was free. It now waits 10 ms before it tries again. Not reproduced; found by reading. Three cases of process_test pass.

--- a/apps/standin/connection_server.cc
+++ b/apps/standin/connection_server.cc
@@ -29,6 +29,8 @@
 using BeastRequest = beast::http::request<beast::http::string_body>;
 using BeastReply = beast::http::response<beast::http::string_body>;
 
+constexpr Duration kAcceptRetryWait = std::chrono::milliseconds(10);
+
 struct Connection {
   explicit Connection(tcp::socket accepted) : socket(std::move(accepted)) {}
 
@@ -130,6 +132,9 @@
       acceptor.accept(socket, ec);
       if (!ec) {
         Accept(std::move(socket));
+      } else if (!stopping) {
+        // Out of descriptors: accept() fails again at once.
+        std::this_thread::sleep_for(kAcceptRetryWait);
       }
     }
   }
