node: queries that crash backend servers are recognised and refused

A lost attempt is followed by a probe on a new connection: a server that refuses it has crashed. Crashes count against the query's fingerprint on all nodes; a query that no shard has answered gets no attempt after its second crash, and a suspect runs as one attempt on one shard.

--- a/libs/http/include/gooseberryrock/http/backend_call.h
+++ b/libs/http/include/gooseberryrock/http/backend_call.h
@@ -33,6 +33,8 @@
   uint32_t window = 1;
   // Posted to /v1/cancel when the call is given up as silent.
   std::string cancel_body = {};
+  // Of the request's content; returned with the result.
+  uint64_t fingerprint = 0;
 };
 
 }  // namespace gooseberryrock::http
--- a/libs/http/include/gooseberryrock/http/backend_result.h
+++ b/libs/http/include/gooseberryrock/http/backend_result.h
@@ -37,6 +37,9 @@
   // Of the call.
   ServiceName service;
   Rank rank = Rank::kUrgent;
+  uint64_t fingerprint = 0;
+  // For kNotSent: the server's address refused a connection.
+  bool refused = false;
 };
 
 }  // namespace gooseberryrock::http
--- a/libs/http/src/backend_channel.cc
+++ b/libs/http/src/backend_channel.cc
@@ -191,6 +191,7 @@
     result.attempt = call.attempt;
     result.server = call.server;
     result.service = call.service;
+    result.fingerprint = call.fingerprint;
     result.rank = call.rank;
     return result;
   }
--- a/libs/http/src/backend_connection.cc
+++ b/libs/http/src/backend_connection.cc
@@ -41,6 +41,7 @@
   result_.attempt = call.attempt;
   result_.server = call.server;
   result_.service = call.service;
+  result_.fingerprint = call.fingerprint;
   result_.rank = call.rank;
   silent_at_.reset();
   if (call.silence > Duration::zero()) {
@@ -109,6 +110,7 @@
       std::string_view(error.what()).starts_with(kConnectFailure);
   result_.kind =
       not_connected ? BackendResultKind::kNotSent : BackendResultKind::kLost;
+  result_.refused = not_connected;
   reusable_ = false;
   finished_ = true;
 }
--- a/libs/node/include/gooseberryrock/node/directory_keeper.h
+++ b/libs/node/include/gooseberryrock/node/directory_keeper.h
@@ -75,8 +75,9 @@
 
  private:
   // All functions below need the lock.
-  void SendDeltas(const std::vector<NodeId>& peers);
-  void SendDigests(const std::vector<NodeId>& peers, SteadyTime now);
+  void SendDeltas(const std::vector<directory::ExchangePeer>& peers);
+  void SendDigests(const std::vector<directory::ExchangePeer>& peers,
+                   SteadyTime now);
   void SendPull(const NodeId& to, const directory::DirectoryPull& pull);
   void SendDelta(const NodeId& to, const directory::DirectoryDelta& delta);
   void ForgetLostPeers(const ClusterView::PeerMap& peers, SteadyTime now);
--- a/libs/node/include/gooseberryrock/node/query_engine.h
+++ b/libs/node/include/gooseberryrock/node/query_engine.h
@@ -9,6 +9,8 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <variant>
 #include <vector>
 
 #include "gooseberryrock/base/ids.h"
@@ -16,6 +18,7 @@
 #include "gooseberryrock/node/query_shard.h"
 #include "gooseberryrock/node/server_table.h"
 #include "gooseberryrock/node/service_gate.h"
+#include "gooseberryrock/query/query_plan.h"
 
 namespace gooseberryrock::directory {
 struct ServerRecord;
@@ -23,6 +26,7 @@
 
 namespace gooseberryrock::node {
 
+class CrashGuard;
 class ServiceViews;
 
 struct QueryEngineOptions {
@@ -35,7 +39,15 @@
 
 class QueryEngine {
  public:
-  QueryEngine(const QueryEngineOptions& options, const ServiceViews& views);
+  // Attempt ids from here on are those of probes.
+  static constexpr query::AttemptId kFirstProbe = query::AttemptId{1} << 63;
+
+  using AttemptOutcome =
+      std::variant<query::SubqueryReply, query::AttemptFailure>;
+
+  QueryEngine(const QueryEngineOptions& options,
+              const ServiceViews& views,
+              CrashGuard& crash_guard);
   QueryEngine(const QueryEngine&) = delete;
   QueryEngine& operator=(const QueryEngine&) = delete;
   // No query may be running.
@@ -50,6 +62,15 @@
                        uint32_t connections);
 
  private:
+  // An attempt whose connection was lost, until it is known whether its server
+  // crashed.
+  struct LostAttempt {
+    query::AttemptId attempt = 0;
+    uint64_t fingerprint = 0;
+    // Other attempts of this node were running on the server.
+    bool shared = false;
+  };
+
   void CarryOut(size_t shard, const QueryShard::Work& work);
   void Send(size_t shard,
             const QueryShard::Work& work,
@@ -59,7 +80,22 @@
   ServiceGate& EnterableGate(const std::shared_ptr<const ServiceView>& view);
   ServiceGate& GateOf(const ServiceName& service);
   uint32_t SlotsOfScarcestShard(const ServiceView& view) const;
+  // Runs an admitted request over the shards of `plan`.
+  query::Answer RunPlan(const query::QueryRequest& request,
+                        const std::shared_ptr<const ServiceView>& view,
+                        query::QueryPlan plan,
+                        std::optional<uint32_t> max_attempts = std::nullopt);
+  // Runs a request that is suspected of crashing servers: one attempt on one
+  // shard, and the rest only when it has succeeded.
+  query::Answer RunAlone(const query::QueryRequest& request,
+                         const std::shared_ptr<const ServiceView>& view,
+                         const query::QueryPlan& plan);
   void OnResult(const http::BackendResult& result);
+  // Asks the server of a lost attempt for a sign of life on a new connection.
+  void Probe(const http::BackendResult& lost, bool shared);
+  void OnProbeResult(const http::BackendResult& probe);
+  // Hands the end of an attempt to its query.
+  void Deliver(query::AttemptId attempt, AttemptOutcome outcome);
   QueryShard& ShardOfAttempt(query::AttemptId attempt);
 
   const ServiceViews& views_;
@@ -69,6 +105,11 @@
   // Indexed like the shards of `servers_`.
   std::vector<std::unique_ptr<http::BackendChannel>> channels_;
   std::atomic<size_t> next_shard_ = 0;
+  CrashGuard& crash_guard_;
+  std::mutex probes_mutex_;
+  // Guarded by `probes_mutex_`. Lost attempts by the attempt id of their probe.
+  std::map<query::AttemptId, LostAttempt> probes_;
+  query::AttemptId next_probe_ = kFirstProbe;
   // Nodes that share the servers' connection limits.
   std::atomic<uint32_t> nodes_ = 1;
 
--- a/libs/node/include/gooseberryrock/node/server_table.h
+++ b/libs/node/include/gooseberryrock/node/server_table.h
@@ -34,6 +34,9 @@
   // Empty when the server is not known.
   std::optional<query::ServerView> View(const BackendServerId& server) const;
 
+  // Zero when the server is not known.
+  uint64_t IncarnationOf(const BackendServerId& server) const;
+
   void OnAttemptStarted(const BackendServerId& server, SteadyTime now);
   // As query::RecordAttemptEnd().
   void OnAttemptEnded(const BackendServerId& server,
--- a/libs/node/src/directory_keeper.cc
+++ b/libs/node/src/directory_keeper.cc
@@ -184,16 +184,18 @@
   }
 }
 
-void DirectoryKeeper::SendDeltas(const std::vector<NodeId>& peers) {
-  for (const NodeId& peer : peers) {
+void DirectoryKeeper::SendDeltas(
+    const std::vector<directory::ExchangePeer>& peers) {
+  for (const directory::ExchangePeer& peer : peers) {
     while (auto delta = directory::TakeDelta(directory_, exchange_, peer)) {
-      SendDelta(peer, *delta);
+      SendDelta(peer.node, *delta);
     }
   }
 }
 
-void DirectoryKeeper::SendDigests(const std::vector<NodeId>& peers,
-                                  SteadyTime now) {
+void DirectoryKeeper::SendDigests(
+    const std::vector<directory::ExchangePeer>& peers,
+    SteadyTime now) {
   if (now < next_digest_) {
     return;
   }
@@ -201,8 +203,8 @@
   const std::string body =
       proto::ToMessage(directory::MakeRootDigest(directory_))
           .SerializeAsString();
-  for (const NodeId& peer : directory::TakeDigestPeers(exchange_, peers)) {
-    send_(peer, peer::FrameKind::kDirectoryDigest, body);
+  for (size_t i : directory::TakeDigestPeers(exchange_, peers.size())) {
+    send_(peers[i].node, peer::FrameKind::kDirectoryDigest, body);
   }
 }
 
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -19,6 +19,7 @@
 #include "gooseberryrock/node/cluster_view.h"
 #include "gooseberryrock/node/control_client.h"
 #include "gooseberryrock/node/control_machine.h"
+#include "gooseberryrock/node/crash_guard.h"
 #include "gooseberryrock/node/directory_keeper.h"
 #include "gooseberryrock/node/drain_gate.h"
 #include "gooseberryrock/node/frame_dispatcher.h"
@@ -31,6 +32,8 @@
 #include "gooseberryrock/peer/frame.h"
 #include "gooseberryrock/peer/peer_socket.h"
 #include "gooseberryrock/proto/convert_catalog.h"
+#include "gooseberryrock/proto/convert_claims.h"
+#include "gooseberryrock/proto/malformed_message_error.h"
 #include "gooseberryrock/settings/settings.h"
 #include "gooseberryrock/storage/storage_error.h"
 #include "gooseberryrock/telemetry/metrics.h"
@@ -178,7 +181,9 @@
   explicit Impl(const settings::Settings& node_settings)
       : settings(node_settings),
         incarnation(Incarnation()),
-        engine(EngineOptions(settings, incarnation), views),
+        crash_guard(settings.node,
+                    [this](const auto& it) { SendSuspicion(it); }),
+        engine(EngineOptions(settings, incarnation), views, crash_guard),
         cluster(PeerViews(settings)),
         socket(SocketOptions(settings, incarnation),
                [this](const peer::PeerFrame& it) { dispatcher.Dispatch(it); }),
@@ -228,6 +233,22 @@
     };
   }
 
+  void SendSuspicion(const claims::Suspicion& suspicion) {
+    const std::string body = proto::ToMessage(suspicion).SerializeAsString();
+    for (const auto& [node, peer] : cluster.Peers()) {
+      socket.Send(node, peer::FrameKind::kCrashSuspicion, body);
+    }
+  }
+
+  void OnSuspicion(const peer::PeerFrame& frame) {
+    proto::CrashSuspicion message;
+    if (!message.ParseFromString(frame.body)) {
+      throw proto::MalformedMessageError("not a valid CrashSuspicion");
+    }
+    crash_guard.OnSuspicion(frame.sender, proto::FromMessage(message),
+                            std::chrono::steady_clock::now());
+  }
+
   ReplicatedLog* LogOrNull() { return log ? &*log : nullptr; }
 
   void PutInForce(const catalog::Catalog& it) {
@@ -310,6 +331,8 @@
           FrameKind::kConsensus,
           [this](const peer::PeerFrame& it) { log->OnMessage(it.body); });
     }
+    dispatcher.Register(FrameKind::kCrashSuspicion,
+                        [this](const auto& it) { OnSuspicion(it); });
     dispatcher.Register(FrameKind::kForwardRequest,
                         [this](const peer::PeerFrame& it) {
                           control->OnRequestFrame(it.sender, it.body);
@@ -335,6 +358,7 @@
   telemetry::Metrics metrics;
   DrainGate gate;
   ServiceViews views;
+  CrashGuard crash_guard;
   QueryEngine engine;
   ClusterView cluster;
   FrameDispatcher dispatcher;
--- a/libs/node/src/query_engine.cc
+++ b/libs/node/src/query_engine.cc
@@ -11,7 +11,9 @@
 
 #include "backend.pb.h"
 #include "gooseberryrock/base/hash.h"
+#include "gooseberryrock/claims/crash_suspects.h"
 #include "gooseberryrock/directory/server_record.h"
+#include "gooseberryrock/node/crash_guard.h"
 #include "gooseberryrock/node/service_views.h"
 #include "gooseberryrock/proto/convert_subquery.h"
 #include "gooseberryrock/proto/json_codec.h"
@@ -25,6 +27,9 @@
 
 constexpr int kHttpOk = 200;
 constexpr int kHttpUnavailable = 503;
+// A server that is alive answers a cancellation within this time.
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(200);
+constexpr uint32_t kOneAttempt = 1;
 
 std::mt19937_64& ThreadRandom() {
   thread_local std::mt19937_64 random{std::random_device{}()};
@@ -72,7 +77,7 @@
   return proto::ToJson(message);
 }
 
-using Outcome = std::variant<query::SubqueryReply, query::AttemptFailure>;
+using Outcome = QueryEngine::AttemptOutcome;
 
 Outcome OutcomeOf(const http::BackendResult& result) {
   switch (result.kind) {
@@ -118,11 +123,17 @@
     case query::AttemptFailure::kNoSnapshot:
     case query::AttemptFailure::kServerError:
     case query::AttemptFailure::kConnectionLost:
+    case query::AttemptFailure::kServerCrashed:
       break;
   }
   return query::AttemptEnd::kFailed;
 }
 
+bool HasRows(const query::Answer& answer) {
+  return answer.status == query::AnswerStatus::kComplete ||
+         answer.status == query::AnswerStatus::kPartial;
+}
+
 std::string CancelBody(query::AttemptId attempt) {
   proto::CancelRequest message;
   message.set_attempt_id(attempt);
@@ -136,8 +147,11 @@
 }  // namespace
 
 QueryEngine::QueryEngine(const QueryEngineOptions& options,
-                         const ServiceViews& views)
-    : views_(views), servers_(options.failure_domain, options.io_shards) {
+                         const ServiceViews& views,
+                         CrashGuard& crash_guard)
+    : views_(views),
+      servers_(options.failure_domain, options.io_shards),
+      crash_guard_(crash_guard) {
   const size_t n = options.query_shards;
   // The first multiple of `n` that no earlier incarnation has reached.
   const query::AttemptId base = (options.first_attempt / n + 1) * n;
@@ -169,13 +183,45 @@
   if (!plan) {
     return query::NotRun(query::AnswerReason::kNoBackendServer);
   }
+  const auto fingerprint =
+      claims::MakeFingerprint(request.service, request.text);
+  const auto decision = crash_guard_.BeginRun(fingerprint, Now());
+  if (decision == claims::FingerprintDecision::kRefuse ||
+      decision == claims::FingerprintDecision::kBusy) {
+    return query::NotRun(query::AnswerReason::kCrashesBackendServers);
+  }
+  query::Answer answer = decision == claims::FingerprintDecision::kRunAlone
+                             ? RunAlone(request, view, *plan)
+                             : RunPlan(request, view, std::move(*plan));
+  crash_guard_.EndRun(fingerprint, HasRows(answer), Now());
+  return answer;
+}
+
+query::Answer QueryEngine::RunAlone(
+    const query::QueryRequest& request,
+    const std::shared_ptr<const ServiceView>& view,
+    const query::QueryPlan& plan) {
+  query::QueryPlan first = plan;
+  first.shards.resize(1);
+  query::Answer answer = RunPlan(request, view, std::move(first), kOneAttempt);
+  if (!HasRows(answer) || plan.shards.size() == 1) {
+    return answer;
+  }
+  return RunPlan(request, view, plan);
+}
+
+query::Answer QueryEngine::RunPlan(
+    const query::QueryRequest& request,
+    const std::shared_ptr<const ServiceView>& view,
+    query::QueryPlan plan,
+    std::optional<uint32_t> max_attempts) {
   query::QueryState state;
   state.request = request;
   state.request.row_limit =
       request.row_limit == 0
           ? view->definition.row_limit
           : std::min(request.row_limit, view->definition.row_limit);
-  state.plan = std::move(*plan);
+  state.plan = std::move(plan);
   ServiceGate& gate = EnterableGate(view);
   Duration retry_after = Duration::zero();
   auto policy = gate.Enter(request.rank, request.deadline, retry_after);
@@ -183,9 +229,12 @@
     return query::NotRun(query::AnswerReason::kOverloaded, retry_after);
   }
   state.policy = *policy;
+  if (max_attempts) {
+    state.policy.max_attempts_per_shard = *max_attempts;
+  }
   const SteadyTime started = Now();
   const size_t shard = next_shard_.fetch_add(1) % shards_.size();
-  query::Answer answer = shards_[shard]->Run(std::move(state), std::move(view));
+  query::Answer answer = shards_[shard]->Run(std::move(state), view);
   gate.Leave(request.rank, Now() - started);
   return answer;
 }
@@ -303,6 +352,8 @@
   call.at_most_once = !work.request.idempotent;
   call.service = work.request.service;
   call.rank = work.request.rank;
+  call.fingerprint =
+      claims::MakeFingerprint(work.request.service, work.request.text);
   if (work.request.idempotent) {
     call.silence = GateOf(work.request.service).SilenceOf(work.request.rank);
   }
@@ -312,21 +363,72 @@
 }
 
 void QueryEngine::OnResult(const http::BackendResult& result) {
+  if (result.attempt >= kFirstProbe) {
+    OnProbeResult(result);
+    return;
+  }
   Outcome outcome = OutcomeOf(result);
   const query::AttemptEnd end = EndOf(outcome);
   ServiceGate& gate = GateOf(result.service);
+  const auto server = servers_.View(result.server);
   servers_.OnAttemptEnded(result.server, end, result.elapsed,
                           gate.TypicalSubquery(), Now());
   if (end == query::AttemptEnd::kAnswered) {
     gate.RecordSubquery(result.rank, result.elapsed);
   }
-  QueryShard& shard = ShardOfAttempt(result.attempt);
+  if (result.kind == http::BackendResultKind::kLost && server) {
+    Probe(result, server->outstanding > 1);
+  } else {
+    Deliver(result.attempt, std::move(outcome));
+  }
+}
+
+void QueryEngine::Deliver(query::AttemptId attempt, AttemptOutcome outcome) {
+  QueryShard& shard = ShardOfAttempt(attempt);
   if (auto* reply = std::get_if<query::SubqueryReply>(&outcome)) {
     shard.OnReply(std::move(*reply));
   } else {
-    shard.OnAttemptFailed(result.attempt,
-                          std::get<query::AttemptFailure>(outcome));
+    shard.OnAttemptFailed(attempt, std::get<query::AttemptFailure>(outcome));
+  }
+}
+
+void QueryEngine::Probe(const http::BackendResult& lost, bool shared) {
+  http::BackendCall call;
+  {
+    std::lock_guard lock(probes_mutex_);
+    call.attempt = next_probe_++;
+    probes_[call.attempt] = {lost.attempt, lost.fingerprint, shared};
+  }
+  call.server = lost.server;
+  call.path = "/v1/cancel";
+  call.body = CancelBody(lost.attempt);
+  call.deadline = Now() + kProbeTimeout;
+  call.at_most_once = true;
+  channels_[servers_.ShardOf(lost.server)]->Send(std::move(call));
+}
+
+void QueryEngine::OnProbeResult(const http::BackendResult& probe) {
+  LostAttempt lost;
+  {
+    std::lock_guard lock(probes_mutex_);
+    auto it = probes_.find(probe.attempt);
+    if (it == probes_.end()) {
+      return;
+    }
+    lost = it->second;
+    probes_.erase(it);
+  }
+  // A server that refuses connections right after one was lost has crashed. A
+  // probe that was not sent for another reason takes its whole time.
+  const bool crashed =
+      probe.kind == http::BackendResultKind::kNotSent && probe.refused;
+  if (crashed) {
+    crash_guard_.OnCrash(lost.fingerprint,
+                         {probe.server, servers_.IncarnationOf(probe.server)},
+                         lost.shared);
   }
+  Deliver(lost.attempt, crashed ? query::AttemptFailure::kServerCrashed
+                                : query::AttemptFailure::kConnectionLost);
 }
 
 QueryShard& QueryEngine::ShardOfAttempt(query::AttemptId attempt) {
--- a/libs/node/src/server_table.cc
+++ b/libs/node/src/server_table.cc
@@ -47,6 +47,13 @@
   return it->second.view;
 }
 
+uint64_t ServerTable::IncarnationOf(const BackendServerId& server) const {
+  const Shard& shard = *shards_[ShardOf(server)];
+  std::lock_guard lock(shard.mutex);
+  auto it = shard.entries.find(server);
+  return it == shard.entries.end() ? 0 : it->second.incarnation;
+}
+
 void ServerTable::OnAttemptStarted(const BackendServerId& server,
                                    SteadyTime now) {
   Shard& shard = *shards_[ShardOf(server)];
--- a/libs/query/include/gooseberryrock/query/query_state.h
+++ b/libs/query/include/gooseberryrock/query/query_state.h
@@ -62,6 +62,8 @@
   size_t shards_open = 0;
   bool hedged = false;
   bool finished = false;
+  // Servers that crashed while they ran an attempt of this query.
+  uint32_t server_crashes = 0;
   // The runtime was asked for a newer snapshot and has not answered yet.
   bool finding_snapshot = false;
   // An attempt at an earlier snapshot of the query may have run.
--- a/libs/query/include/gooseberryrock/query/subquery_reply.h
+++ b/libs/query/include/gooseberryrock/query/subquery_reply.h
@@ -43,13 +43,16 @@
   // The connection stopped responding and may be replaced. The request may have
   // run. Its retry needs no budget: the rate of replacements limits it.
   kConnectionSilent,
+  // The server crashed while it ran the request.
+  kServerCrashed,
 };
 
 // Whether an attempt that failed with `failure` may have run.
 constexpr bool MayHaveRun(AttemptFailure failure) {
   return failure == AttemptFailure::kServerError ||
          failure == AttemptFailure::kConnectionLost ||
-         failure == AttemptFailure::kConnectionSilent;
+         failure == AttemptFailure::kConnectionSilent ||
+         failure == AttemptFailure::kServerCrashed;
 }
 
 }  // namespace gooseberryrock::query
--- a/libs/query/src/build_answer.cc
+++ b/libs/query/src/build_answer.cc
@@ -22,6 +22,7 @@
       return AnswerReason::kBackendServerError;
     case AttemptFailure::kConnectionLost:
     case AttemptFailure::kConnectionSilent:
+    case AttemptFailure::kServerCrashed:
       return AnswerReason::kConnectionLost;
   }
   return AnswerReason::kNone;
--- a/libs/query/src/query_machine.cc
+++ b/libs/query/src/query_machine.cc
@@ -12,6 +12,10 @@
 
 namespace {
 
+// Crashes of servers after which a query that no shard has answered gets no
+// further attempt.
+constexpr uint32_t kMaxCrashesBeforeAnswer = 1;
+
 SteadyTime AnswerTime(const QueryState& state) {
   SteadyTime time = state.request.deadline - state.policy.answer_margin;
   if (state.policy.settle_after) {
@@ -74,6 +78,13 @@
   if (shard.attempts_made >= state.policy.max_attempts_per_shard) {
     return false;
   }
+  // A request may crash each server that runs it. An answer of any shard says
+  // that it does not.
+  if (failure == AttemptFailure::kServerCrashed &&
+      state.server_crashes > kMaxCrashesBeforeAnswer &&
+      !AnyShardAnswered(state)) {
+    return false;
+  }
   return state.request.idempotent ||
          (!shard.may_have_run && !MayHaveRun(failure));
 }
@@ -236,6 +247,9 @@
   shard.may_have_run = shard.may_have_run || MayHaveRun(failure);
   shard.snapshot_lost =
       shard.snapshot_lost || failure == AttemptFailure::kNoSnapshot;
+  if (failure == AttemptFailure::kServerCrashed) {
+    ++state.server_crashes;
+  }
   const bool in_time = now < AnswerTime(state);
   if (routed && in_time && MayRetry(state, shard, failure) &&
       (failure == AttemptFailure::kConnectionSilent || SpendBudget(budget))) {
