--- a/tests/consensus/fault_matrix_test.cc
+++ b/tests/consensus/fault_matrix_test.cc
@@ -69,6 +69,7 @@
 
 std::vector<Fault> Faults(const std::vector<FaultKind>& kinds) {
   std::vector<Fault> faults;
+  faults.reserve(2 * kinds.size());
   for (FaultKind kind : kinds) {
     for (bool at_leader : {true, false}) {
       faults.push_back({kind, at_leader, milliseconds(0), milliseconds(1500)});
@@ -79,6 +80,7 @@
 
 [[maybe_unused]] std::vector<FaultKind> AllKinds() {
   std::vector<FaultKind> kinds;
+  kinds.reserve(kFaultKindCount);
   for (int kind = 0; kind < kFaultKindCount; ++kind) {
     kinds.push_back(static_cast<FaultKind>(kind));
   }
