--- a/libs/http/src/backend_channel.cc
+++ b/libs/http/src/backend_channel.cc
@@ -127,10 +127,11 @@
   void Handle(const DropWaitingEvent& event) {
     auto it = servers.find(event.server);
     if (it != servers.end()) {
-      for (const BackendCall& call : it->second.waiting) {
+      // Cancellations stay: they are no new work.
+      std::erase_if(it->second.waiting, [this](const BackendCall& call) {
         Report(NotSent(call));
-      }
-      it->second.waiting.clear();
+        return call.attempt != kNoAttempt;
+      });
     }
   }
 
--- a/libs/query/src/routing.cc
+++ b/libs/query/src/routing.cc
@@ -58,7 +58,7 @@
     expected += policy.cross_domain_delay;
   }
   // Each overtaken attempt cost a hedge, and its real time is not known.
-  constexpr double kOvertakenCost = 8;
+  constexpr double kOvertakenCost = 20;
   expected += std::chrono::duration_cast<Duration>(
       kOvertakenCost * view.overtaken_rate * Remembered(view, now) * expected);
   // A server that fails fast must not look fast: divide by its success rate.
--- a/tests/http/backend_channel_test.cc
+++ b/tests/http/backend_channel_test.cc
@@ -4,8 +4,10 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <chrono>
 #include <future>
+#include <thread>
 
 #include "gooseberryrock/http/http_server.h"
 
@@ -51,5 +53,66 @@
   EXPECT_EQ(future.get().kind, BackendResultKind::kNotSent);
 }
 
+// A server whose replies take longer than any test waits, and the results of
+// one channel to it with one connection.
+class SlowServerTest : public testing::Test {
+ protected:
+  BackendCall Call(uint64_t attempt) const {
+    BackendCall call{attempt, {"s"}, "/x", "", After(std::chrono::seconds(2))};
+    call.window = 2;
+    return call;
+  }
+
+  BackendResult Wait(std::promise<BackendResult>& result) {
+    auto future = result.get_future();
+    if (future.wait_for(std::chrono::seconds(3)) != std::future_status::ready) {
+      ADD_FAILURE() << "no result";
+      return {};
+    }
+    return future.get();
+  }
+
+  std::atomic<bool> seen_ = false;
+  // Set when the first request is at the server.
+  std::promise<void> arrived_;
+  HttpServer server_{{"127.0.0.1", kPort + 1, 4}, [this](const HttpRequest&) {
+                       if (!seen_.exchange(true)) {
+                         arrived_.set_value();
+                       }
+                       std::this_thread::sleep_for(
+                           std::chrono::milliseconds(600));
+                       return HttpReply{200, "text/plain", "late"};
+                     }};
+  std::promise<BackendResult> first_;
+  std::promise<BackendResult> second_;
+  BackendChannel channel_{[this](BackendResult it) {
+    (it.attempt == 1 ? first_ : second_).set_value(std::move(it));
+  }};
+};
+
+// Guards against an attempt that waits for its deadline on a connection that
+// has stopped responding.
+TEST_F(SlowServerTest, SilentConnectionIsReplaced) {
+  channel_.SetEndpoint({"s"}, {"127.0.0.1", kPort + 1, 1});
+  BackendCall call = Call(1);
+  call.silence = std::chrono::milliseconds(50);
+  channel_.Send(std::move(call));
+  const BackendResult got = Wait(first_);
+  EXPECT_EQ(got.kind, BackendResultKind::kSilent);
+  EXPECT_LT(got.elapsed, std::chrono::milliseconds(500));
+}
+
+// Guards against queued work that is sent to a draining server.
+TEST_F(SlowServerTest, WaitingCallsOfDrainingServerAreHandedBack) {
+  channel_.SetEndpoint({"s"}, {"127.0.0.1", kPort + 1, 1});
+  channel_.Send(Call(1));
+  ASSERT_EQ(arrived_.get_future().wait_for(std::chrono::seconds(3)),
+            std::future_status::ready);
+  channel_.Send(Call(2));
+  channel_.DropWaiting({"s"});
+  EXPECT_EQ(Wait(second_).kind, BackendResultKind::kNotSent);
+  EXPECT_EQ(Wait(first_).kind, BackendResultKind::kReply);
+}
+
 }  // namespace
 }  // namespace gooseberryrock::http
