--- a/libs/node/include/gooseberryrock/node/crash_guard.h
+++ b/libs/node/include/gooseberryrock/node/crash_guard.h
@@ -33,7 +33,8 @@
                bool shared);
 
   // `answered`: a server has answered the query in this run, which says that
-  // the query does not crash each server that runs it.
+  // the query does not crash each server that runs it. The crashes of the run
+  // are not held against it then.
   void EndRun(claims::Fingerprint fingerprint, bool answered, SteadyTime now);
 
   void OnSuspicion(const NodeId& from,
--- a/libs/node/src/crash_guard.cc
+++ b/libs/node/src/crash_guard.cc
@@ -62,10 +62,11 @@
     bool answered,
     SteadyTime now) {
   auto it = crashes_.find(fingerprint);
-  if (it != crashes_.end()) {
+  if (it != crashes_.end() && answered) {
+    crashes_.erase(it);
+  } else if (it != crashes_.end()) {
     for (const auto& [server, shared] : it->second) {
-      claims::RecordCrash(suspects_, fingerprint, server, {shared, answered},
-                          now);
+      claims::RecordCrash(suspects_, fingerprint, server, {shared, false}, now);
     }
     crashes_.erase(it);
     return claims::DescribeSuspicion(suspects_, fingerprint, now);
--- a/libs/query/include/gooseberryrock/query/query_state.h
+++ b/libs/query/include/gooseberryrock/query/query_state.h
@@ -39,6 +39,8 @@
   bool snapshot_lost = false;
   // The server of the reply says that rows are missing.
   bool rows_missing = false;
+  // The shard's server crashed; the retry waits for an answer of any shard.
+  bool retry_deferred = false;
   AttemptFailure last_failure = AttemptFailure::kNotSent;
   uint32_t attempts_made = 0;
   uint32_t attempts_open = 0;
@@ -64,6 +66,8 @@
   bool finished = false;
   // Servers that crashed while they ran an attempt of this query.
   uint32_t server_crashes = 0;
+  // Shards with `retry_deferred`.
+  size_t deferred_retries = 0;
   // The runtime was asked for a newer snapshot and has not answered yet.
   bool finding_snapshot = false;
   // An attempt at an earlier snapshot of the query may have run.
--- a/libs/query/src/query_machine.cc
+++ b/libs/query/src/query_machine.cc
@@ -12,9 +12,8 @@
 
 namespace {
 
-// Crashes of servers after which a query that no shard has answered gets no
-// further attempt.
-constexpr uint32_t kMaxCrashesBeforeAnswer = 1;
+// Crashes of servers after which a query to one shard gets no further attempt.
+constexpr uint32_t kMaxCrashes = 1;
 
 SteadyTime AnswerTime(const QueryState& state) {
   SteadyTime time = state.request.deadline - state.policy.answer_margin;
@@ -78,11 +77,8 @@
   if (shard.attempts_made >= state.policy.max_attempts_per_shard) {
     return false;
   }
-  // A request may crash each server that runs it. An answer of any shard says
-  // that it does not.
-  if (failure == AttemptFailure::kServerCrashed &&
-      state.server_crashes > kMaxCrashesBeforeAnswer &&
-      !AnyShardAnswered(state)) {
+  if (failure == AttemptFailure::kServerCrashed && state.shards.size() == 1 &&
+      state.server_crashes > kMaxCrashes) {
     return false;
   }
   return state.request.idempotent ||
@@ -167,9 +163,54 @@
   effects.next_timer = NextTimer(state);
 }
 
+// A request may crash each server that runs it; an answer of any shard says
+// that it does not. The retries of a query to several shards wait for one.
+bool IsRetryDeferred(const QueryState& state, AttemptFailure failure) {
+  return failure == AttemptFailure::kServerCrashed && state.shards.size() > 1 &&
+         !AnyShardAnswered(state);
+}
+
+// Opens the deferred retries once a shard has answered.
+void OpenDeferredRetries(QueryState& state,
+                         AttemptIdSource& ids,
+                         AttemptBudget& budget,
+                         QueryEffects& effects) {
+  if (state.deferred_retries == 0) {
+    return;
+  }
+  state.deferred_retries = 0;
+  for (size_t i = 0; i < state.shards.size(); ++i) {
+    ShardState& shard = state.shards[i];
+    if (!std::exchange(shard.retry_deferred, false)) {
+      continue;
+    }
+    if (SpendBudget(budget)) {
+      effects.send.push_back(OpenAttempt(state, i, ids));
+    } else {
+      CloseShard(state, shard);
+      shard.given_up = true;
+    }
+  }
+}
+
+// No answer can come any more that would allow the deferred retries.
+void GiveUpDeferredRetries(QueryState& state) {
+  if (state.deferred_retries == 0 || !state.attempts.empty()) {
+    return;
+  }
+  state.deferred_retries = 0;
+  for (ShardState& shard : state.shards) {
+    if (std::exchange(shard.retry_deferred, false)) {
+      CloseShard(state, shard);
+      shard.given_up = true;
+    }
+  }
+}
+
 void FinishWhenSettled(QueryState& state,
                        QueryEffects& effects,
                        SteadyTime now) {
+  GiveUpDeferredRetries(state);
   if (state.shards_open == 0 && !state.finding_snapshot) {
     Finish(state, effects, /*deadline_passed=*/now >= AnswerTime(state));
   }
@@ -231,6 +272,7 @@
   shard.rows = std::move(reply.rows);
   shard.rows_missing = !reply.all_rows;
   CancelAttemptsOn(state, shard_index, effects);
+  OpenDeferredRetries(state, ids, budget, effects);
   FinishWhenSettled(state, effects, now);
   return effects;
 }
@@ -268,8 +310,15 @@
     ++state.server_crashes;
   }
   const bool in_time = now < AnswerTime(state);
-  if (routed && in_time && MayRetry(state, shard, failure) &&
-      MayAfford(shard, failure, budget)) {
+  const bool may_retry = routed && in_time && MayRetry(state, shard, failure);
+  if (may_retry && shard.attempts_open == 0 && !shard.retry_deferred &&
+      IsRetryDeferred(state, failure)) {
+    shard.retry_deferred = true;
+    ++state.deferred_retries;
+    FinishWhenSettled(state, effects, now);
+    return effects;
+  }
+  if (may_retry && MayAfford(shard, failure, budget)) {
     effects.send.push_back(OpenAttempt(state, shard_index, ids));
     return effects;
   }
