--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -57,7 +57,8 @@
 build() {
   scripts/install_packages.sh || fail "the packages could not be installed"
   cmake --preset default >/dev/null
-  cmake --build --preset default --target gbrnode gbrstandin gbrload | tail -1
+  cmake --build --preset default --target gbrctl gbrnode gbrstandin \
+    gbrload | tail -1
 }
 
 stop_all() {
@@ -80,6 +81,19 @@
   exit "$status"
 }
 
+# The other nodes, as members of the array "peers".
+peers_of() {
+  local i=$1 j separator=""
+  for ((j = 0; j < NODE_COUNT; ++j)); do
+    if [ "$j" -ne "$i" ]; then
+      printf '%s{"node": "node-%s", "failure_domain": "%s", "control": true,
+    "peer_address": {"host": "127.0.0.1", "port": %s}}' \
+        "$separator" "${DOMAINS[$j]}" "${DOMAINS[$j]}" "$(peer_port "$j")"
+      separator=", "
+    fi
+  done
+}
+
 write_settings() {
   local i=$1
   cat >"$work/node-$i.json" <<JSON
@@ -90,6 +104,8 @@
   "failure_domain": "${DOMAINS[$i]}",
   "http_address": {"host": "127.0.0.1", "port": $(http_port "$i")},
   "peer_address": {"host": "127.0.0.1", "port": $(peer_port "$i")},
+  "data_folder": "$work/data-$i",
+  "peers": [$(peers_of "$i")],
   "cluster_key": "quickstart-cluster-key-of-32-byte",
   "operator_token": "$TOKEN"
 }
@@ -119,7 +135,7 @@
   build/apps/gbrstandin --id "chairs-$n" --service chairs \
     --failure-domain "${DOMAINS[$((n % 3))]}" \
     --port "$(standin_port "$n")" --control-port "$(control_port "$n")" \
-    --shards "s$((n / 3))" --announce-to-all \
+    --shards "s$((n / 3))" \
     --nodes $(node_addresses) 2>"$work/standin-$n.log" 9>&- &
   pids+=($!)
 }
@@ -140,21 +156,21 @@
   done
 }
 
-operator_call() {
-  local port=$1 call=$2 body=$3
-  curl -sS -H "Authorization: Bearer $TOKEN" -d "$body" \
-    "http://127.0.0.1:$port/v1/operator/$call"
+# Runs an operators' command through the last node; any node takes it.
+gbrctl() {
+  GBR_OPERATOR_TOKEN="$TOKEN" build/apps/gbrctl \
+    --node "127.0.0.1:$(http_port $((NODE_COUNT - 1)))" "$@"
 }
 
 create_service() {
-  local i
-  for ((i = 0; i < NODE_COUNT; ++i)); do
-    operator_call "$(http_port "$i")" SubmitCommand '{
-      "command_id": "create-chairs", "expected_version": 0,
-      "put_service": {"name": "chairs",
-        "layouts": [{"version": 1, "shards": ["s0", "s1", "s2"]}]}}'
-    echo
-  done
+  cat >"$work/chairs.json" <<JSON
+{
+  "name": "chairs",
+  "layouts": [{"version": 1, "shards": ["s0", "s1", "s2"]}]
+}
+JSON
+  gbrctl service put "$work/chairs.json"
+  gbrctl wait 1
 }
 
 # query <port> <text> <curl option>...
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -16,4 +16,4 @@
 cmake --build --preset asan --target unit_tests
 ctest --test-dir build-asan -L unit --output-on-failure -j 4
 echo "== all tests"
-ctest --preset default -j 2
+scripts/run_tests.sh -j 2
