--- a/tests/storage/storage_bench.cc
+++ b/tests/storage/storage_bench.cc
@@ -104,7 +104,7 @@
 }  // namespace gooseberryrock::storage
 
 int main() {
-  using namespace gooseberryrock::storage;
+  namespace storage = gooseberryrock::storage;
   const auto folder =
       std::filesystem::temp_directory_path() / "gooseberryrock_storage_bench";
   const auto fresh = [&] {
@@ -112,11 +112,11 @@
     std::filesystem::create_directories(folder);
     return folder.string();
   };
-  bool pass = BenchAppend(fresh());
+  bool pass = storage::BenchAppend(fresh());
   for (uint64_t entries : {100, 1000, 10000}) {
-    pass = BenchStart(fresh(), entries) && pass;
+    pass = storage::BenchStart(fresh(), entries) && pass;
   }
-  pass = BenchMessages() && pass;
+  pass = storage::BenchMessages() && pass;
   std::filesystem::remove_all(folder);
   return pass ? 0 : 1;
 }
