--- a/libs/node/include/gooseberryrock/node/control_machine.h
+++ b/libs/node/include/gooseberryrock/node/control_machine.h
@@ -33,7 +33,7 @@
 // is called after each change of the catalog.
 StateMachine MakeStateMachine(
     ControlState& state,
-    std::function<void(const catalog::Catalog&)> on_catalog);
+    const std::function<void(const catalog::Catalog&)>& on_catalog);
 
 }  // namespace gooseberryrock::node
 
--- a/libs/node/src/control_client.cc
+++ b/libs/node/src/control_client.cc
@@ -159,7 +159,7 @@
 
 NodeId ControlClient::NextTarget(size_t attempt) const {
   if (log_ != nullptr) {
-    const NodeId leader = log_->Status().leader;
+    NodeId leader = log_->Status().leader;
     if (!leader.empty()) {
       return leader;
     }
@@ -203,7 +203,8 @@
     reply.set_correlation_id(id);
     done(std::move(reply));
   };
-  if (log_ == nullptr) {
+  if (log_ == nullptr ||
+      request.call_case() == proto::ForwardRequest::CALL_NOT_SET) {
     finish(NotLeaderReply({}));
   } else if (request.has_membership()) {
     log_->ChangeMembership(
@@ -212,11 +213,9 @@
   } else if (request.has_read()) {
     log_->Read(read_,
                [finish](const SubmitResult& it) { finish(EntryReply(it)); });
-  } else if (request.call_case() != proto::ForwardRequest::CALL_NOT_SET) {
+  } else {
     log_->Submit(EncodeEntry(request),
                  [finish](const SubmitResult& it) { finish(EntryReply(it)); });
-  } else {
-    finish(NotLeaderReply({}));
   }
 }
 
--- a/libs/node/src/control_machine.cc
+++ b/libs/node/src/control_machine.cc
@@ -177,7 +177,7 @@
 
 StateMachine MakeStateMachine(
     ControlState& state,
-    std::function<void(const catalog::Catalog&)> on_catalog) {
+    const std::function<void(const catalog::Catalog&)>& on_catalog) {
   StateMachine machine;
   machine.apply = [&state, on_catalog](std::string_view payload) {
     const uint64_t version = state.catalog.version;
