--- a/apps/node/main.cc
+++ b/apps/node/main.cc
@@ -1,5 +1,6 @@
 // gbrnode: a node of the query tier.
 
+#include <google/protobuf/stubs/logging.h>
 #include <CLI/CLI.hpp>
 
 #include <csignal>
@@ -33,6 +34,9 @@
 }
 
 int Run(const Settings& settings) {
+  // Malformed messages are reported as typed errors; protobuf would also write
+  // its own lines into the log.
+  google::protobuf::SetLogHandler(nullptr);
   const sigset_t signals = BlockStopSignals();
   gooseberryrock::node::Node node(settings);
   LogEvent(LogLevel::kInfo, "node_started",
--- a/apps/standin/announcer.cc
+++ b/apps/standin/announcer.cc
@@ -5,9 +5,12 @@
 #include <charconv>
 #include <utility>
 
+#include "backend.pb.h"
 #include "gooseberryrock/base/time.h"
 #include "gooseberryrock/http/http_call.h"
 #include "gooseberryrock/http/http_error.h"
+#include "gooseberryrock/proto/json_codec.h"
+#include "gooseberryrock/proto/malformed_message_error.h"
 #include "gooseberryrock/telemetry/log_event.h"
 
 namespace gooseberryrock::standin {
@@ -17,7 +20,12 @@
 constexpr Duration kAnnounceInterval = std::chrono::milliseconds(500);
 constexpr int kHttpOk = 200;
 
-bool Post(const std::string& node, const std::string& body) {
+struct PostResult {
+  bool accepted = false;
+  bool new_incarnation_needed = false;
+};
+
+PostResult Post(const std::string& node, const std::string& body) {
   const size_t colon = node.rfind(':');
   http::HttpCall call;
   call.host = node.substr(0, colon);
@@ -27,11 +35,21 @@
   call.body = body;
   call.timeout = kAnnounceInterval;
   try {
-    return http::Execute(call).status == kHttpOk;
+    const http::HttpReply http_reply = http::Execute(call);
+    if (http_reply.status != kHttpOk) {
+      return {};
+    }
+    proto::AnnouncementReply reply;
+    proto::FromJson(http_reply.body, reply, /*ignore_unknown=*/true);
+    return {true, reply.new_incarnation_needed()};
+  } catch (const proto::MalformedMessageError& e) {
+    telemetry::LogEvent(telemetry::LogLevel::kWarning, "announce_failed",
+                        {{"node", node}, {"error", e.what()}});
+    return {};
   } catch (const http::HttpError& e) {
     telemetry::LogEvent(telemetry::LogLevel::kWarning, "announce_failed",
                         {{"node", node}, {"error", e.what()}});
-    return false;
+    return {};
   }
 }
 
@@ -39,8 +57,12 @@
 
 Announcer::Announcer(std::vector<std::string> nodes,
                      bool to_all,
-                     BodySource body)
-    : nodes_(std::move(nodes)), to_all_(to_all), body_(std::move(body)) {
+                     BodySource body,
+                     OutdatedHandler on_outdated)
+    : nodes_(std::move(nodes)),
+      to_all_(to_all),
+      body_(std::move(body)),
+      on_outdated_(std::move(on_outdated)) {
   thread_ = std::thread([this] { Run(); });
 }
 
@@ -80,8 +102,11 @@
 void Announcer::AnnounceOnce() {
   const std::string body = body_();
   for (size_t i = 0; i < nodes_.size(); ++i) {
-    const bool accepted = Post(nodes_[node_ % nodes_.size()], body);
-    if (accepted && !to_all_) {
+    const PostResult result = Post(nodes_[node_ % nodes_.size()], body);
+    if (result.new_incarnation_needed) {
+      on_outdated_();
+    }
+    if (result.accepted && !to_all_) {
       return;
     }
     ++node_;
--- a/apps/standin/announcer.h
+++ b/apps/standin/announcer.h
@@ -16,10 +16,16 @@
  public:
   // Called on the announcer's thread for the body of each announcement.
   using BodySource = std::function<std::string()>;
+  // Called on the announcer's thread when a node says that the server must
+  // raise its incarnation to be used again.
+  using OutdatedHandler = std::function<void()>;
 
   // Announces to one of `nodes` ("host:port") and goes on to the next one when
   // that fails, or to all of them.
-  Announcer(std::vector<std::string> nodes, bool to_all, BodySource body);
+  Announcer(std::vector<std::string> nodes,
+            bool to_all,
+            BodySource body,
+            OutdatedHandler on_outdated);
   Announcer(const Announcer&) = delete;
   Announcer& operator=(const Announcer&) = delete;
   // Announces a last time and stops.
@@ -35,6 +41,7 @@
   const std::vector<std::string> nodes_;
   const bool to_all_;
   const BodySource body_;
+  const OutdatedHandler on_outdated_;
   // Used by the thread only.
   size_t node_ = 0;
   std::mutex mutex_;
--- a/apps/standin/standin_server.cc
+++ b/apps/standin/standin_server.cc
@@ -77,9 +77,11 @@
             [this](const http::HttpRequest& it) { return Handle(it); }),
         control({options.host, options.control_port, kControlThreads},
                 [this](const http::HttpRequest& it) { return Control(it); }),
-        announcer(options.nodes, options.announce_to_all, [this] {
-          return AnnouncementBody();
-        }) {}
+        announcer(
+            options.nodes,
+            options.announce_to_all,
+            [this] { return AnnouncementBody(); },
+            [this] { RaiseIncarnation(); }) {}
 
   ~Impl() {
     std::lock_guard lock(mutex);
@@ -246,6 +248,11 @@
     return json.dump();
   }
 
+  void RaiseIncarnation() {
+    std::lock_guard lock(mutex);
+    incarnation = std::max(incarnation + 1, Incarnation());
+  }
+
   std::string AnnouncementBody() {
     std::lock_guard lock(mutex);
     proto::Announcement message;
@@ -278,9 +285,9 @@
   }
 
   const StandinOptions options;
-  const uint64_t incarnation = Incarnation();
   std::mutex mutex;
   // Guarded by `mutex`.
+  uint64_t incarnation = Incarnation();
   std::mt19937_64 random;
   Behaviour behaviour;
   uint64_t sequence = 1;
--- a/libs/node/include/gooseberryrock/node/at_most_once.h
+++ b/libs/node/include/gooseberryrock/node/at_most_once.h
@@ -19,6 +19,10 @@
 struct QueryRequest;
 }  // namespace gooseberryrock::query
 
+namespace gooseberryrock::telemetry {
+struct Metrics;
+}  // namespace gooseberryrock::telemetry
+
 namespace gooseberryrock::node {
 
 class ControlClient;
@@ -36,7 +40,8 @@
   AtMostOnceExecutor(NodeId self,
                      uint64_t incarnation,
                      ControlClient& control,
-                     QueryEngine& engine);
+                     QueryEngine& engine,
+                     telemetry::Metrics& metrics);
 
   // Runs the request unless it has run, and returns the first outcome if it
   // has. Waits until the deadline at most.
@@ -55,6 +60,7 @@
   const uint64_t incarnation_;
   ControlClient& control_;
   QueryEngine& engine_;
+  telemetry::Metrics& metrics_;
   // Tells the claims of this incarnation of the node apart.
   std::atomic<uint64_t> next_attempt_ = 1;
 };
--- a/libs/node/include/gooseberryrock/node/directory_keeper.h
+++ b/libs/node/include/gooseberryrock/node/directory_keeper.h
@@ -26,6 +26,10 @@
 struct PeerFrame;
 }  // namespace gooseberryrock::peer
 
+namespace gooseberryrock::telemetry {
+struct Metrics;
+}  // namespace gooseberryrock::telemetry
+
 namespace gooseberryrock::node {
 
 class QueryEngine;
@@ -45,6 +49,7 @@
   DirectoryKeeper(DirectoryKeeperOptions options,
                   ServiceViews& views,
                   QueryEngine& engine,
+                  telemetry::Metrics& metrics,
                   FrameSender send);
 
   // An announcement that reached this node. Returns whether the server must
@@ -93,6 +98,7 @@
   const directory::ReservedPlace place_;
   ServiceViews& views_;
   QueryEngine& engine_;
+  telemetry::Metrics& metrics_;
   const FrameSender send_;
   mutable std::mutex mutex_;
   // Guarded by `mutex_`.
--- a/libs/node/include/gooseberryrock/node/http_api.h
+++ b/libs/node/include/gooseberryrock/node/http_api.h
@@ -41,6 +41,8 @@
   telemetry::Metrics* metrics = nullptr;
   // Whether the node has a catalog that it may serve with.
   std::function<bool()> has_catalog;
+  // Brings the gauges up to date before the metrics are rendered.
+  std::function<void()> update_gauges;
 };
 
 class HttpApi {
--- a/libs/node/include/gooseberryrock/node/operator_api.h
+++ b/libs/node/include/gooseberryrock/node/operator_api.h
@@ -17,6 +17,10 @@
 struct HttpRequest;
 }  // namespace gooseberryrock::http
 
+namespace gooseberryrock::telemetry {
+struct Metrics;
+}  // namespace gooseberryrock::telemetry
+
 namespace gooseberryrock::node {
 
 class CatalogKeeper;
@@ -37,6 +41,7 @@
   ClusterView* cluster = nullptr;
   // Null on a node that is no control VM.
   ReplicatedLog* log = nullptr;
+  telemetry::Metrics* metrics = nullptr;
 };
 
 class OperatorApi {
@@ -53,6 +58,8 @@
   proto::GetStatusReply GetStatus(const proto::GetStatusRequest& request);
   proto::ChangeMembershipReply ChangeMembership(
       const proto::ChangeMembershipRequest& request);
+  // Why a command must not be proposed now; empty when it may.
+  std::string RefusalOf(const proto::CommandRequest& request) const;
   void AddNodes(proto::GetStatusReply& reply) const;
   void AddBackendServers(proto::GetStatusReply& reply) const;
   void AddControl(proto::GetStatusReply& reply) const;
--- a/libs/node/include/gooseberryrock/node/query_engine.h
+++ b/libs/node/include/gooseberryrock/node/query_engine.h
@@ -24,6 +24,10 @@
 struct ServerRecord;
 }  // namespace gooseberryrock::directory
 
+namespace gooseberryrock::telemetry {
+struct Metrics;
+}  // namespace gooseberryrock::telemetry
+
 namespace gooseberryrock::node {
 
 class CrashGuard;
@@ -47,7 +51,8 @@
 
   QueryEngine(const QueryEngineOptions& options,
               const ServiceViews& views,
-              CrashGuard& crash_guard);
+              CrashGuard& crash_guard,
+              telemetry::Metrics& metrics);
   QueryEngine(const QueryEngine&) = delete;
   QueryEngine& operator=(const QueryEngine&) = delete;
   // No query may be running.
@@ -106,6 +111,7 @@
   std::vector<std::unique_ptr<http::BackendChannel>> channels_;
   std::atomic<size_t> next_shard_ = 0;
   CrashGuard& crash_guard_;
+  telemetry::Metrics& metrics_;
   std::mutex probes_mutex_;
   // Guarded by `probes_mutex_`. Lost attempts by the attempt id of their probe.
   std::map<query::AttemptId, LostAttempt> probes_;
--- a/libs/node/src/at_most_once.cc
+++ b/libs/node/src/at_most_once.cc
@@ -12,6 +12,7 @@
 #include "gooseberryrock/proto/convert_answer.h"
 #include "gooseberryrock/proto/convert_claims.h"
 #include "gooseberryrock/query/query_request.h"
+#include "gooseberryrock/telemetry/metrics.h"
 
 namespace gooseberryrock::node {
 
@@ -69,11 +70,13 @@
 AtMostOnceExecutor::AtMostOnceExecutor(NodeId self,
                                        uint64_t incarnation,
                                        ControlClient& control,
-                                       QueryEngine& engine)
+                                       QueryEngine& engine,
+                                       telemetry::Metrics& metrics)
     : self_(std::move(self)),
       incarnation_(incarnation),
       control_(control),
-      engine_(engine) {}
+      engine_(engine),
+      metrics_(metrics) {}
 
 query::Answer AtMostOnceExecutor::Execute(const query::QueryRequest& request) {
   const claims::ClaimHolder holder = {self_, incarnation_, next_attempt_++};
@@ -83,6 +86,7 @@
   const Duration left = request.deadline - Now();
   const CallResult result = control_.Call(std::move(call), left / kClaimShare);
   if (result.status != CallStatus::kDone) {
+    telemetry::Increment(metrics_, telemetry::Counter::kClaimsNotRun);
     return RefuseUnclaimed(request, query::AnswerReason::kNoQuorum);
   }
   const proto::ClaimReply& reply = result.reply.claim();
@@ -90,6 +94,7 @@
   const bool own_claim = reply.status() == proto::CLAIM_ALREADY &&
                          proto::FromMessage(reply).holder == holder;
   if (reply.status() == proto::CLAIM_GRANTED || own_claim) {
+    telemetry::Increment(metrics_, telemetry::Counter::kClaimsAccepted);
     return Run(request, holder);
   }
   return AnswerOf(request, reply);
@@ -100,7 +105,9 @@
   query::Answer answer = engine_.Execute(request);
   if (answer.status == query::AnswerStatus::kNotRun) {
     Release(request, holder);
-  } else if (answer.status != query::AnswerStatus::kOutcomeUnknown) {
+  } else if (answer.status == query::AnswerStatus::kOutcomeUnknown) {
+    telemetry::Increment(metrics_, telemetry::Counter::kClaimsOutcomeUnknown);
+  } else {
     RecordOutcome(request, holder, answer);
   }
   return answer;
--- a/libs/node/src/caller_api.cc
+++ b/libs/node/src/caller_api.cc
@@ -52,6 +52,7 @@
     ParseDeadline();
     ParseRankHeader();
     ParseIdempotent();
+    ParseFirstSend();
     ParseBody();
     if (error_) {
       return *error_;
@@ -125,6 +126,14 @@
     }
   }
 
+  void ParseFirstSend() {
+    const std::string text = Header("gbr-first-send", /*required=*/false);
+    if (!text.empty() && text != "true" && text != "false") {
+      Fail("invalid_first_send", "gbr-first-send must be true or false");
+    }
+    query_.first_send = text == "true";
+  }
+
   // Claims expire by the time in the request id.
   static bool HasTime(const std::string& id) {
     int64_t ms = 0;
--- a/libs/node/src/directory_keeper.cc
+++ b/libs/node/src/directory_keeper.cc
@@ -14,6 +14,7 @@
 #include "gooseberryrock/peer/frame.h"
 #include "gooseberryrock/proto/convert_directory.h"
 #include "gooseberryrock/proto/malformed_message_error.h"
+#include "gooseberryrock/telemetry/metrics.h"
 #include "peer.pb.h"
 
 namespace gooseberryrock::node {
@@ -66,11 +67,13 @@
 DirectoryKeeper::DirectoryKeeper(DirectoryKeeperOptions options,
                                  ServiceViews& views,
                                  QueryEngine& engine,
+                                 telemetry::Metrics& metrics,
                                  FrameSender send)
     : options_(std::move(options)),
       place_(PlaceOf(options_)),
       views_(views),
       engine_(engine),
+      metrics_(metrics),
       send_(std::move(send)) {
   reservations_.steps.push_back({0, DefaultReservation(options_)});
   reservations_.settled = true;
@@ -78,6 +81,7 @@
 
 bool DirectoryKeeper::OnAnnouncement(const directory::ServerRecord& record,
                                      SteadyTime now) {
+  telemetry::Increment(metrics_, telemetry::Counter::kAnnouncements);
   std::lock_guard lock(mutex_);
   if (directory::AcceptAnnouncement(directory_, record, options_.self, now)) {
     Publish({directory_.entries.at(record.id).record});
@@ -169,6 +173,8 @@
           ? directory::ExpireServers(directory_, options_.self, kExpiry, now)
           : directory::ExpireServers(directory_, options_.self, contacts_,
                                      kExpiry, now);
+  telemetry::Increment(metrics_, telemetry::Counter::kServersExpired,
+                       changed.size());
   auto adopted =
       directory::AdoptOrphans(directory_, live, lost, options_.self, now);
   std::move(adopted.begin(), adopted.end(), std::back_inserter(changed));
--- a/libs/node/src/http_api.cc
+++ b/libs/node/src/http_api.cc
@@ -95,6 +95,7 @@
     return HandleReady();
   }
   if (request.path == "/metrics") {
+    parts_.update_gauges();
     return {200, std::string(telemetry::kMetricsContentType),
             telemetry::RenderMetrics(*parts_.metrics)};
   }
@@ -105,11 +106,16 @@
   const SteadyTime arrived = Now();
   auto parsed = ParseQuery(request, arrived);
   if (auto* error = std::get_if<http::HttpReply>(&parsed)) {
+    telemetry::Increment(*parts_.metrics, telemetry::Counter::kBadRequests);
     return *error;
   }
   const auto& query = std::get<query::QueryRequest>(parsed);
   const query::Answer answer = Answer(query);
   const Duration latency = Now() - arrived;
+  if (answer.reason == query::AnswerReason::kOverloaded) {
+    telemetry::Increment(*parts_.metrics,
+                         telemetry::Counter::kAdmissionRefused);
+  }
   telemetry::RecordAnswer(
       *parts_.metrics,
       {query.service.value, query.rank, query.tenant,
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <filesystem>
 #include <map>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <system_error>
@@ -24,6 +25,7 @@
 #include "gooseberryrock/node/drain_gate.h"
 #include "gooseberryrock/node/frame_dispatcher.h"
 #include "gooseberryrock/node/http_api.h"
+#include "gooseberryrock/node/node_gauges.h"
 #include "gooseberryrock/node/operator_api.h"
 #include "gooseberryrock/node/peer_loop.h"
 #include "gooseberryrock/node/query_engine.h"
@@ -31,6 +33,7 @@
 #include "gooseberryrock/node/service_views.h"
 #include "gooseberryrock/peer/frame.h"
 #include "gooseberryrock/peer/peer_socket.h"
+#include "gooseberryrock/peer/peer_stats.h"
 #include "gooseberryrock/proto/convert_catalog.h"
 #include "gooseberryrock/proto/convert_claims.h"
 #include "gooseberryrock/proto/malformed_message_error.h"
@@ -183,11 +186,14 @@
         incarnation(Incarnation()),
         crash_guard(settings.node,
                     [this](const auto& it) { SendSuspicion(it); }),
-        engine(EngineOptions(settings, incarnation), views, crash_guard),
+        engine(EngineOptions(settings, incarnation),
+               views,
+               crash_guard,
+               metrics),
         cluster(PeerViews(settings)),
         socket(SocketOptions(settings, incarnation),
                [this](const peer::PeerFrame& it) { dispatcher.Dispatch(it); }),
-        directory(DirectoryOptions(settings), views, engine, Sender()),
+        directory(DirectoryOptions(settings), views, engine, metrics, Sender()),
         catalog([this](const auto& it) { PutInForce(it); }) {
     if (IsControl(settings)) {
       MakeDataFolder(settings.data_folder);
@@ -211,7 +217,7 @@
         },
         [this] { return ReadCatalog(); });
     peer_loop.emplace(LoopParts());
-    at_most_once.emplace(settings.node, incarnation, *control, engine);
+    at_most_once.emplace(settings.node, incarnation, *control, engine, metrics);
     operator_api.emplace(ApiParts());
     RegisterHandlers();
     http_api.emplace(HttpParts());
@@ -293,6 +299,7 @@
     parts.directory = &directory;
     parts.cluster = &cluster;
     parts.log = LogOrNull();
+    parts.metrics = &metrics;
     return parts;
   }
 
@@ -306,9 +313,27 @@
     parts.gate = &gate;
     parts.metrics = &metrics;
     parts.has_catalog = [this] { return peer_loop->HasCatalog(); };
+    parts.update_gauges = [this] { UpdateGauges(); };
     return parts;
   }
 
+  void UpdateGauges() {
+    const SteadyTime now = std::chrono::steady_clock::now();
+    SetCatalogGauges(metrics, catalog, now);
+    SetClusterGauges(metrics, cluster, directory, now);
+    if (log) {
+      SetLogGauges(metrics, log->Status(), settings.node);
+    }
+    telemetry::SetGauge(metrics, telemetry::Gauge::kQueriesInFlight,
+                        static_cast<double>(gate.InFlight()));
+    const bool ready = gate.IsReady() && peer_loop->HasCatalog();
+    telemetry::SetGauge(metrics, telemetry::Gauge::kReady, ready ? 1 : 0);
+    std::lock_guard lock(stats_mutex);
+    const peer::PeerStats stats = socket.Stats();
+    CountPeerFrames(metrics, counted, stats);
+    counted = stats;
+  }
+
   void RegisterHandlers() {
     using peer::FrameKind;
     const auto to_directory = [this](const peer::PeerFrame& it) {
@@ -375,6 +400,9 @@
   std::optional<OperatorApi> operator_api;
   std::optional<HttpApi> http_api;
   std::optional<http::HttpServer> server;
+  std::mutex stats_mutex;
+  // Guarded by `stats_mutex`. What the counters of peer frames hold already.
+  peer::PeerStats counted;
 };
 
 Node::Node(const settings::Settings& settings)
--- a/libs/node/src/operator_api.cc
+++ b/libs/node/src/operator_api.cc
@@ -18,6 +18,7 @@
 #include "gooseberryrock/proto/convert_catalog.h"
 #include "gooseberryrock/proto/json_codec.h"
 #include "gooseberryrock/proto/malformed_message_error.h"
+#include "gooseberryrock/telemetry/metrics.h"
 
 namespace gooseberryrock::node {
 
@@ -62,6 +63,8 @@
   auto it = request.headers.find("authorization");
   if (it == request.headers.end() ||
       !IsEqualSecret(it->second, "Bearer " + parts_.token)) {
+    telemetry::Increment(*parts_.metrics,
+                         telemetry::Counter::kUnauthorizedRequests);
     return ErrorReply(401, "unauthorized", "the operator token is wrong");
   }
   if (request.method != "POST") {
@@ -109,9 +112,21 @@
     const proto::CommandRequest& request) {
   // Refuses a malformed command before it gets into the log.
   proto::FromMessage(request);
+  proto::CommandReply refused;
+  if (const std::string refusal = RefusalOf(request); !refusal.empty()) {
+    refused.set_status(proto::NOT_RUN);
+    refused.set_version(parts_.catalog->Version());
+    refused.add_problems(refusal);
+    return refused;
+  }
   proto::ForwardRequest call;
   *call.mutable_command() = request;
   CallResult result = parts_.control->Call(std::move(call), kCommandTimeout);
+  const bool accepted = result.status == CallStatus::kDone &&
+                        result.reply.command().status() == proto::ACCEPTED;
+  telemetry::Increment(*parts_.metrics,
+                       accepted ? telemetry::Counter::kCommandsAccepted
+                                : telemetry::Counter::kCommandsRefused);
   if (result.status == CallStatus::kDone) {
     return result.reply.command();
   }
@@ -123,6 +138,22 @@
   return reply;
 }
 
+// A second change of the reservation before the first is in force everywhere
+// could let the nodes exceed a connection limit together.
+std::string OperatorApi::RefusalOf(const proto::CommandRequest& request) const {
+  if (!request.has_set_reservation()) {
+    return "";
+  }
+  const auto lagging =
+      parts_.cluster->WaitForVersion(parts_.catalog->Version(), Now());
+  if (lagging.empty()) {
+    return "";
+  }
+  return "node " + lagging.front().value +
+         " does not report the present catalog in force; the reservation may "
+         "change only when all nodes do";
+}
+
 proto::GetCatalogReply OperatorApi::GetCatalog(
     const proto::GetCatalogRequest& request) {
   if (request.current()) {
--- a/libs/node/src/query_engine.cc
+++ b/libs/node/src/query_engine.cc
@@ -20,6 +20,7 @@
 #include "gooseberryrock/proto/malformed_message_error.h"
 #include "gooseberryrock/query/query_plan.h"
 #include "gooseberryrock/query/routing.h"
+#include "gooseberryrock/telemetry/metrics.h"
 
 namespace gooseberryrock::node {
 
@@ -140,6 +141,15 @@
   return proto::ToJson(message);
 }
 
+void CountAttempt(telemetry::Metrics& metrics, query::AttemptCause cause) {
+  telemetry::Increment(metrics, telemetry::Counter::kAttemptsSent);
+  if (cause == query::AttemptCause::kHedge) {
+    telemetry::Increment(metrics, telemetry::Counter::kHedges);
+  } else if (cause == query::AttemptCause::kRetry) {
+    telemetry::Increment(metrics, telemetry::Counter::kRetries);
+  }
+}
+
 SteadyTime Now() {
   return std::chrono::steady_clock::now();
 }
@@ -148,10 +158,12 @@
 
 QueryEngine::QueryEngine(const QueryEngineOptions& options,
                          const ServiceViews& views,
-                         CrashGuard& crash_guard)
+                         CrashGuard& crash_guard,
+                         telemetry::Metrics& metrics)
     : views_(views),
       servers_(options.failure_domain, options.io_shards),
-      crash_guard_(crash_guard) {
+      crash_guard_(crash_guard),
+      metrics_(metrics) {
   const size_t n = options.query_shards;
   // The first multiple of `n` that no earlier incarnation has reached.
   const query::AttemptId base = (options.first_attempt / n + 1) * n;
@@ -296,6 +308,7 @@
     if (attempt.server.empty()) {
       continue;
     }
+    telemetry::Increment(metrics_, telemetry::Counter::kAttemptsCancelled);
     const SteadyTime now = Now();
     servers_.OnAttemptEnded(
         attempt.server, query::AttemptEnd::kCancelled, now - attempt.routed_at,
@@ -341,6 +354,7 @@
   if (!shards_[shard]->OnAttemptRouted(attempt.id, server)) {
     return;
   }
+  CountAttempt(metrics_, attempt.cause);
   const SteadyTime now = Now();
   servers_.OnAttemptStarted(server, now);
   http::BackendCall call;
@@ -375,6 +389,8 @@
                           gate.TypicalSubquery(), Now());
   if (end == query::AttemptEnd::kAnswered) {
     gate.RecordSubquery(result.rank, result.elapsed);
+  } else {
+    telemetry::Increment(metrics_, telemetry::Counter::kAttemptsFailed);
   }
   if (result.kind == http::BackendResultKind::kLost && server) {
     Probe(result, server->outstanding > 1);
@@ -423,6 +439,7 @@
   const bool crashed =
       probe.kind == http::BackendResultKind::kNotSent && probe.refused;
   if (crashed) {
+    telemetry::Increment(metrics_, telemetry::Counter::kServerCrashes);
     crash_guard_.OnCrash(lost.fingerprint,
                          {probe.server, servers_.IncarnationOf(probe.server)},
                          lost.shared);
--- a/libs/query/include/gooseberryrock/query/query_effects.h
+++ b/libs/query/include/gooseberryrock/query/query_effects.h
@@ -13,6 +13,8 @@
 
 namespace gooseberryrock::query {
 
+enum class AttemptCause { kFirst, kHedge, kRetry };
+
 // An attempt that the runtime routes with ChooseServer() and sends.
 struct AttemptToSend {
   AttemptId id = 0;
@@ -21,6 +23,7 @@
   // Servers that must not be chosen.
   std::vector<BackendServerId> excluded;
   SteadyTime deadline;
+  AttemptCause cause = AttemptCause::kFirst;
 };
 
 // An attempt whose answer no one waits for. `server` is empty when the attempt
--- a/libs/query/src/query_machine.cc
+++ b/libs/query/src/query_machine.cc
@@ -25,15 +25,20 @@
 
 AttemptToSend OpenAttempt(QueryState& state,
                           size_t shard_index,
-                          AttemptIdSource& ids) {
+                          AttemptIdSource& ids,
+                          AttemptCause cause) {
   ShardState& shard = state.shards[shard_index];
   const AttemptId id = ids.next;
   ids.next += ids.step;
   state.attempts[id] = {shard_index, {}, {}};
   ++shard.attempts_made;
   ++shard.attempts_open;
-  return {id, shard.shard, state.plan.snapshot, shard.tried,
-          state.request.deadline - state.policy.answer_margin};
+  return {id,
+          shard.shard,
+          state.plan.snapshot,
+          shard.tried,
+          state.request.deadline - state.policy.answer_margin,
+          cause};
 }
 
 void CloseShard(QueryState& state, ShardState& shard) {
@@ -130,7 +135,7 @@
     if (IsShardOpen(shard) && shard.attempts_open == 1 &&
         shard.attempts_made < state.policy.max_attempts_per_shard &&
         SpendBudget(budget)) {
-      effects.send.push_back(OpenAttempt(state, i, ids));
+      effects.send.push_back(OpenAttempt(state, i, ids, AttemptCause::kHedge));
     }
   }
 }
@@ -158,7 +163,7 @@
   }
   state.shards_open = state.shards.size();
   for (size_t i = 0; i < state.shards.size(); ++i) {
-    effects.send.push_back(OpenAttempt(state, i, ids));
+    effects.send.push_back(OpenAttempt(state, i, ids, AttemptCause::kFirst));
   }
   effects.next_timer = NextTimer(state);
 }
@@ -185,7 +190,7 @@
       continue;
     }
     if (SpendBudget(budget)) {
-      effects.send.push_back(OpenAttempt(state, i, ids));
+      effects.send.push_back(OpenAttempt(state, i, ids, AttemptCause::kRetry));
     } else {
       CloseShard(state, shard);
       shard.given_up = true;
@@ -319,7 +324,8 @@
     return effects;
   }
   if (may_retry && MayAfford(shard, failure, budget)) {
-    effects.send.push_back(OpenAttempt(state, shard_index, ids));
+    effects.send.push_back(
+        OpenAttempt(state, shard_index, ids, AttemptCause::kRetry));
     return effects;
   }
   if (shard.attempts_open == 0) {
