proto: one binary codec in place of five copies; capacity: exact processor time

Process CPU time by getrusage has the resolution of the scheduler tick here; the frame points were off by that. CLOCK_PROCESS_CPUTIME_ID replaces it.

--- a/apps/capacity/measurement.cc
+++ b/apps/capacity/measurement.cc
@@ -3,25 +3,17 @@
 #include "measurement.h"
 
 #include <malloc.h>
-#include <sys/resource.h>
 
 #include <chrono>
+#include <ctime>
 
 namespace gooseberryrock::capacity {
 
-namespace {
-
-Duration ToDuration(const timeval& time) {
-  return std::chrono::seconds(time.tv_sec) +
-         std::chrono::microseconds(time.tv_usec);
-}
-
-}  // namespace
-
 Duration ProcessorTime() {
-  rusage usage{};
-  getrusage(RUSAGE_SELF, &usage);
-  return ToDuration(usage.ru_utime) + ToDuration(usage.ru_stime);
+  timespec time{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+  return std::chrono::seconds(time.tv_sec) +
+         std::chrono::nanoseconds(time.tv_nsec);
 }
 
 double Microseconds(const std::function<void()>& work) {
--- a/libs/node/src/control_client.cc
+++ b/libs/node/src/control_client.cc
@@ -7,7 +7,7 @@
 
 #include "control.pb.h"
 #include "gooseberryrock/node/replicated_log.h"
-#include "gooseberryrock/proto/malformed_message_error.h"
+#include "gooseberryrock/proto/binary_codec.h"
 
 namespace gooseberryrock::node {
 
@@ -221,21 +221,14 @@
 
 void ControlClient::OnRequestFrame(const NodeId& from,
                                    const std::string& body) {
-  proto::ForwardRequest request;
-  if (!request.ParseFromString(body)) {
-    throw proto::MalformedMessageError("not a valid ForwardRequest");
-  }
-  RunLocally(request, [this, from](const proto::ForwardReply& reply) {
-    send_reply_(from, reply);
-  });
+  RunLocally(proto::Parse<proto::ForwardRequest>(body),
+             [this, from](const proto::ForwardReply& reply) {
+               send_reply_(from, reply);
+             });
 }
 
 void ControlClient::OnReplyFrame(const std::string& body) {
-  proto::ForwardReply reply;
-  if (!reply.ParseFromString(body)) {
-    throw proto::MalformedMessageError("not a valid ForwardReply");
-  }
-  OnReply(reply);
+  OnReply(proto::Parse<proto::ForwardReply>(body));
 }
 
 void ControlClient::OnReply(const proto::ForwardReply& reply) {
--- a/libs/node/src/control_machine.cc
+++ b/libs/node/src/control_machine.cc
@@ -8,6 +8,7 @@
 #include "control.pb.h"
 #include "gooseberryrock/catalog/apply_command.h"
 #include "gooseberryrock/catalog/command.h"
+#include "gooseberryrock/proto/binary_codec.h"
 #include "gooseberryrock/proto/convert_catalog.h"
 #include "gooseberryrock/proto/convert_claims.h"
 #include "gooseberryrock/proto/malformed_message_error.h"
@@ -130,12 +131,9 @@
 }  // namespace
 
 std::string ApplyEntry(ControlState& state, std::string_view payload) {
-  proto::ControlEntry entry;
-  if (!entry.ParseFromArray(payload.data(), static_cast<int>(payload.size()))) {
-    return "";
-  }
   try {
-    return Apply(state, entry).SerializeAsString();
+    return Apply(state, proto::Parse<proto::ControlEntry>(payload))
+        .SerializeAsString();
   } catch (const proto::MalformedMessageError&) {
     return "";
   }
@@ -156,10 +154,7 @@
 }
 
 ControlState DecodeSnapshot(std::string_view data) {
-  proto::ControlSnapshot snapshot;
-  if (!snapshot.ParseFromArray(data.data(), static_cast<int>(data.size()))) {
-    throw proto::MalformedMessageError("not a valid ControlSnapshot");
-  }
+  const auto snapshot = proto::Parse<proto::ControlSnapshot>(data);
   ControlState state;
   state.catalog = proto::FromMessage(snapshot.catalog());
   for (const auto& command : snapshot.remembered()) {
--- a/libs/node/src/directory_keeper.cc
+++ b/libs/node/src/directory_keeper.cc
@@ -12,8 +12,8 @@
 #include "gooseberryrock/node/query_engine.h"
 #include "gooseberryrock/node/service_views.h"
 #include "gooseberryrock/peer/frame.h"
+#include "gooseberryrock/proto/binary_codec.h"
 #include "gooseberryrock/proto/convert_directory.h"
-#include "gooseberryrock/proto/malformed_message_error.h"
 #include "gooseberryrock/telemetry/metrics.h"
 #include "peer.pb.h"
 
@@ -26,15 +26,6 @@
 // A node that was not heard of for this long is lost.
 constexpr Duration kPeerLoss = std::chrono::seconds(2);
 
-template <typename Message>
-Message Parse(const std::string& body) {
-  Message message;
-  if (!message.ParseFromString(body)) {
-    throw proto::MalformedMessageError("not a valid " + message.GetTypeName());
-  }
-  return message;
-}
-
 // The place of `self` among the nodes of its failure domain in order of ids.
 directory::ReservedPlace PlaceOf(const DirectoryKeeperOptions& options) {
   directory::ReservedPlace place;
@@ -94,7 +85,7 @@
   const NodeId& from = frame.sender;
   if (frame.kind == peer::FrameKind::kDirectoryDelta) {
     const auto delta =
-        proto::FromMessage(Parse<proto::DirectoryDelta>(frame.body));
+        proto::FromMessage(proto::Parse<proto::DirectoryDelta>(frame.body));
     Publish(directory::MergeDelta(directory_, delta, from, now));
     if (auto pull = directory::OnChangeSpan(exchange_, from, frame.incarnation,
                                             delta.from, delta.to)) {
@@ -103,7 +94,7 @@
   } else if (frame.kind == peer::FrameKind::kDirectoryDigest) {
     const auto answer = directory::OnDigest(
         directory_,
-        proto::FromMessage(Parse<proto::DirectoryDigest>(frame.body)));
+        proto::FromMessage(proto::Parse<proto::DirectoryDigest>(frame.body)));
     if (answer.digest) {
       send_(from, peer::FrameKind::kDirectoryDigest,
             proto::ToMessage(*answer.digest).SerializeAsString());
@@ -114,7 +105,7 @@
   } else if (frame.kind == peer::FrameKind::kDirectoryPull) {
     const auto answer = directory::OnPull(
         directory_, exchange_, from,
-        proto::FromMessage(Parse<proto::DirectoryPull>(frame.body)));
+        proto::FromMessage(proto::Parse<proto::DirectoryPull>(frame.body)));
     for (const auto& delta : answer.deltas) {
       SendDelta(from, delta);
     }
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -34,9 +34,9 @@
 #include "gooseberryrock/peer/frame.h"
 #include "gooseberryrock/peer/peer_socket.h"
 #include "gooseberryrock/peer/peer_stats.h"
+#include "gooseberryrock/proto/binary_codec.h"
 #include "gooseberryrock/proto/convert_catalog.h"
 #include "gooseberryrock/proto/convert_claims.h"
-#include "gooseberryrock/proto/malformed_message_error.h"
 #include "gooseberryrock/settings/settings.h"
 #include "gooseberryrock/storage/storage_error.h"
 #include "gooseberryrock/telemetry/metrics.h"
@@ -247,12 +247,10 @@
   }
 
   void OnSuspicion(const peer::PeerFrame& frame) {
-    proto::CrashSuspicion message;
-    if (!message.ParseFromString(frame.body)) {
-      throw proto::MalformedMessageError("not a valid CrashSuspicion");
-    }
-    crash_guard.OnSuspicion(frame.sender, proto::FromMessage(message),
-                            std::chrono::steady_clock::now());
+    crash_guard.OnSuspicion(
+        frame.sender,
+        proto::FromMessage(proto::Parse<proto::CrashSuspicion>(frame.body)),
+        std::chrono::steady_clock::now());
   }
 
   ReplicatedLog* LogOrNull() { return log ? &*log : nullptr; }
--- a/libs/node/src/peer_loop.cc
+++ b/libs/node/src/peer_loop.cc
@@ -11,8 +11,8 @@
 #include "gooseberryrock/node/cluster_view.h"
 #include "gooseberryrock/node/directory_keeper.h"
 #include "gooseberryrock/peer/frame.h"
+#include "gooseberryrock/proto/binary_codec.h"
 #include "gooseberryrock/proto/convert_catalog.h"
-#include "gooseberryrock/proto/malformed_message_error.h"
 #include "peer.pb.h"
 
 namespace gooseberryrock::node {
@@ -28,15 +28,6 @@
   return std::chrono::steady_clock::now();
 }
 
-template <typename Message>
-Message Parse(const std::string& body) {
-  Message message;
-  if (!message.ParseFromString(body)) {
-    throw proto::MalformedMessageError("not a valid " + message.GetTypeName());
-  }
-  return message;
-}
-
 uint64_t LowestVersion(const ClusterView::PeerMap& peers, uint64_t own) {
   for (const auto& [node, peer] : peers) {
     own = std::min(own, peer.heard_at ? peer.catalog_version : 0);
@@ -142,7 +133,7 @@
 }
 
 void PeerLoop::OnHeartbeat(const peer::PeerFrame& frame) {
-  const auto message = Parse<proto::PeerHeartbeat>(frame.body);
+  const auto message = proto::Parse<proto::PeerHeartbeat>(frame.body);
   const SteadyTime now = Now();
   parts_.cluster->OnHeartbeat(frame.sender, message.catalog_version(),
                               message.leaving(), now);
@@ -151,7 +142,7 @@
 }
 
 void PeerLoop::OnCatalogPoll(const peer::PeerFrame& frame) {
-  const auto message = Parse<proto::CatalogPoll>(frame.body);
+  const auto message = proto::Parse<proto::CatalogPoll>(frame.body);
   proto::CatalogPollReply reply;
   reply.set_version(parts_.catalog->Version());
   if (message.version() < reply.version()) {
@@ -162,7 +153,7 @@
 }
 
 void PeerLoop::OnCatalogPollReply(const peer::PeerFrame& frame) {
-  const auto message = Parse<proto::CatalogPollReply>(frame.body);
+  const auto message = proto::Parse<proto::CatalogPollReply>(frame.body);
   if (message.has_catalog()) {
     parts_.catalog->Put(proto::FromMessage(message.catalog()));
   }
--- a/libs/node/src/replicated_log.cc
+++ b/libs/node/src/replicated_log.cc
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "consensus.pb.h"
+#include "gooseberryrock/proto/binary_codec.h"
 #include "gooseberryrock/proto/convert_consensus.h"
 #include "gooseberryrock/proto/malformed_message_error.h"
 #include "gooseberryrock/storage/identity.h"
@@ -90,14 +91,6 @@
          reason == consensus::RejectReason::kReplaced;
 }
 
-consensus::Message DecodeMessage(const std::string& body) {
-  proto::ConsensusMessage message;
-  if (!message.ParseFromString(body)) {
-    throw proto::MalformedMessageError("not a consensus message");
-  }
-  return proto::FromMessage(std::move(message));
-}
-
 void LogLeadership(const NodeId& self,
                    const consensus::LeadershipChange& change) {
   telemetry::LogEvent(telemetry::LogLevel::kInfo, "leadership_changed",
@@ -213,6 +206,7 @@
     }
   }
 
+  // HandleBatch() proposes all submitted entries of a batch at once.
   void Handle(SubmitEvent& /*event*/) {}
 
   void Handle(MembershipEvent& event) {
@@ -234,8 +228,10 @@
 
   void Handle(MessageEvent& event) {
     try {
-      CarryOut(consensus::HandleMessage(state, DecodeMessage(event.body), Now(),
-                                        random));
+      CarryOut(consensus::HandleMessage(
+          state,
+          proto::FromMessage(proto::Parse<proto::ConsensusMessage>(event.body)),
+          Now(), random));
     } catch (const proto::MalformedMessageError& e) {
       telemetry::LogEvent(telemetry::LogLevel::kWarning,
                           "consensus_message_refused", {{"error", e.what()}});
