--- a/libs/node/src/replicated_log.cc
+++ b/libs/node/src/replicated_log.cc
@@ -138,6 +138,12 @@
     if (stored.snapshot.last.index > 0) {
       machine.restore(stored.snapshot.data);
     }
+    telemetry::LogEvent(
+        telemetry::LogLevel::kInfo, "storage_opened",
+        {{"node", options.self.value},
+         {"storage_id", identity.storage_id},
+         {"snapshot_index", std::to_string(stored.snapshot.last.index)},
+         {"entries", std::to_string(stored.entries.size())}});
     state = consensus::StartConsensus(options.self, identity.storage_id,
                                       std::move(stored), options.config, Now(),
                                       random);
--- a/tests/process/control_test.cc
+++ b/tests/process/control_test.cc
@@ -76,6 +76,30 @@
     ASSERT_TRUE(cluster_.node(node).WaitForEnd(seconds(5)));
   }
 
+  // Repeats the change while it is refused, as a learner that has not caught up
+  // is.
+  bool ChangeMember(size_t node, const Json& change) {
+    const SteadyTime until = Now() + kStartTimeout;
+    while (Now() < until) {
+      const Json reply =
+          cluster_.OperatorCall(node, "ChangeMembership", change.dump());
+      if (reply.value("status", "") == "ACCEPTED") {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  std::string StorageId(size_t node) {
+    const SteadyTime until = Now() + kStartTimeout;
+    std::string id;
+    while (id.empty() && Now() < until) {
+      const Json reply = cluster_.OperatorCall(node, "GetStatus", "{}");
+      id = reply.value("control", Json::object()).value("storage_id", "");
+    }
+    return id;
+  }
+
   bool WaitReady(size_t node) {
     const SteadyTime until = Now() + kStartTimeout;
     while (Now() < until && cluster_.Ready(node) != 200) {
@@ -166,6 +190,29 @@
   EXPECT_EQ(Submit(0, PutService("b", 2, "gears"))["status"], "ACCEPTED");
 }
 
+// Guards against a replaced VM that never counts again, and against the loss of
+// a change when a second VM is lost right after the repair.
+TEST_F(ControlTest, ReplacedDataFolderCountsAgain) {
+  ASSERT_TRUE(cluster_.WaitForLeader(kStartTimeout));
+  EXPECT_EQ(Submit(0, PutService("a", 1, "tills"))["status"], "ACCEPTED");
+  KillNode(1);
+  std::filesystem::remove_all(cluster_.DataFolder(1));
+  ASSERT_TRUE(ChangeMember(0, {{"action", "REMOVE"}, {"node", "node-b"}}));
+  cluster_.RestartNode(1);
+  ASSERT_TRUE(ChangeMember(0, {{"action", "ADD_LEARNER"},
+                               {"node", "node-b"},
+                               {"storage_id", StorageId(1)},
+                               {"peer_address", "127.0.0.1:1"}}));
+  ASSERT_TRUE(ChangeMember(0, {{"action", "PROMOTE"}, {"node", "node-b"}}));
+  KillNode(2);
+  EXPECT_EQ(Submit(1, PutService("b", 2, "gears"))["status"], "ACCEPTED");
+  // An accepted change is in force within 2 s.
+  const SteadyTime until = Now() + seconds(2);
+  while (VersionInForce(1) < 3 && Now() < until) {
+  }
+  EXPECT_EQ(VersionInForce(1), 3U);
+}
+
 // Guards against a leader that acknowledges changes while it is frozen or that
 // brings back old state when it goes on.
 TEST_F(ControlTest, PausedLeaderDoesNotRevert) {
