--- a/libs/node/include/gooseberryrock/node/node.h
+++ b/libs/node/include/gooseberryrock/node/node.h
@@ -5,6 +5,12 @@
 
 #include <memory>
 
+#include "gooseberryrock/base/ids.h"
+
+namespace gooseberryrock::peer {
+enum class Direction;
+}  // namespace gooseberryrock::peer
+
 namespace gooseberryrock::settings {
 struct Settings;
 }  // namespace gooseberryrock::settings
@@ -23,6 +29,11 @@
   // queries and returns when none is in flight.
   void Drain();
 
+  // Drops all frames from or to `peer`. For tests that partition nodes.
+  void SetPeerBlocked(const NodeId& peer,
+                      peer::Direction direction,
+                      bool blocked);
+
  private:
   struct Impl;
   std::unique_ptr<Impl> impl_;
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -412,4 +412,10 @@
   impl_->Drain();
 }
 
+void Node::SetPeerBlocked(const NodeId& peer,
+                          peer::Direction direction,
+                          bool blocked) {
+  impl_->socket.SetBlocked(peer, direction, blocked);
+}
+
 }  // namespace gooseberryrock::node
