http: no storm of connections opened ahead to a server that closes them

Cause: a connection that is opened ahead and lost was replaced at once. Ruled out: a resend of the call itself; times_sent was 1. Change: none is opened ahead for 1 s after a connection that ended without a reply.

--- a/libs/http/src/backend_channel.cc
+++ b/libs/http/src/backend_channel.cc
@@ -55,6 +55,9 @@
 constexpr query::ConnectionPolicy kConnectionPolicy;
 // Opens a connection ahead of its first call: cxxtools opens one without
 // blocking only together with a request. No attempt has the id 0.
+// After a connection that ended without a reply none is opened ahead for this
+// long: a server that closes each connection would get one after the other.
+constexpr Duration kOpenAheadPause = std::chrono::seconds(1);
 constexpr const char* kWarmUpBody = R"({"attemptId":"0"})";
 
 struct Server {
@@ -64,6 +67,8 @@
   // Calls that may be in flight, from the latest call.
   uint32_t window = 1;
   query::ConnectionHealth health;
+  // No connection is opened ahead before.
+  SteadyTime open_ahead_at;
 };
 
 SteadyTime Now() {
@@ -230,6 +235,8 @@
         BackendResult result = connection->TakeResult(now);
         if (result.kind == BackendResultKind::kReply) {
           query::OnConnectionAnswered(server.health);
+        } else {
+          server.open_ahead_at = now + kOpenAheadPause;
         }
         Finish(*connection, std::move(result));
       }
@@ -293,6 +300,9 @@
   }
 
   void OpenAhead(const BackendServerId& id, Server& server, SteadyTime now) {
+    if (now < server.open_ahead_at) {
+      return;
+    }
     const uint32_t busy = CountBusy(server);
     const auto all = static_cast<uint32_t>(server.connections.size());
     if (busy == 0 && all == 0) {
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -14,6 +14,6 @@
 echo "== unit tests with AddressSanitizer and UndefinedBehaviorSanitizer"
 cmake --preset asan >/dev/null
 cmake --build --preset asan --target unit_tests
-ctest --test-dir build-asan -L unit --output-on-failure -j 4
+scripts/run_tests.sh build-asan -L unit -j 4
 echo "== all tests"
-scripts/run_tests.sh -j 2
+scripts/run_tests.sh build -j 2
