--- a/libs/query/src/query_machine.cc
+++ b/libs/query/src/query_machine.cc
@@ -127,7 +127,10 @@
                      AttemptBudget& budget,
                      QueryEffects& effects) {
   state.hedged = true;
-  if (!state.request.idempotent) {
+  // After a crash, further servers wait for an answer as deferred retries do.
+  const bool may_crash_servers =
+      state.server_crashes > 0 && !AnyShardAnswered(state);
+  if (!state.request.idempotent || may_crash_servers) {
     return;
   }
   for (size_t i = 0; i < state.shards.size(); ++i) {
