node: one rule for a reachable peer in place of three

The directory, the wait for a version and the gauges each had their own copy of the 2 s. partition_test passes, lint is clean for the three files; the whole set was not run again.

--- a/libs/node/include/gooseberryrock/node/cluster_view.h
+++ b/libs/node/include/gooseberryrock/node/cluster_view.h
@@ -26,6 +26,10 @@
   std::optional<SteadyTime> heard_at;
 };
 
+// Whether the peer was heard of within the last 2 s. A silent peer counts as
+// lost, and what it reported does not count as its state.
+bool IsReachable(const PeerView& peer, SteadyTime now);
+
 class ClusterView {
  public:
   using PeerMap = std::map<NodeId, PeerView>;
--- a/libs/node/src/cluster_view.cc
+++ b/libs/node/src/cluster_view.cc
@@ -8,11 +8,14 @@
 
 namespace {
 
-// What a peer reported longer ago than this is not counted as its state.
 constexpr Duration kSilence = std::chrono::seconds(2);
 
 }  // namespace
 
+bool IsReachable(const PeerView& peer, SteadyTime now) {
+  return peer.heard_at && now - *peer.heard_at <= kSilence;
+}
+
 ClusterView::ClusterView(PeerMap peers) : peers_(std::move(peers)) {}
 
 void ClusterView::OnHeartbeat(const NodeId& node,
@@ -54,8 +57,7 @@
                                               SteadyTime now) const {
   std::vector<NodeId> lagging;
   for (const auto& [node, view] : peers_) {
-    const bool silent = !view.heard_at || now - *view.heard_at > kSilence;
-    if (silent || view.catalog_version < version) {
+    if (!IsReachable(view, now) || view.catalog_version < version) {
       lagging.push_back(node);
     }
   }
--- a/libs/node/src/directory_keeper.cc
+++ b/libs/node/src/directory_keeper.cc
@@ -23,8 +23,6 @@
 
 // A server that has not announced itself for this long has gone.
 constexpr Duration kExpiry = std::chrono::seconds(2);
-// A node that was not heard of for this long is lost.
-constexpr Duration kPeerLoss = std::chrono::seconds(2);
 
 // The place of `self` among the nodes of its failure domain in order of ids.
 directory::ReservedPlace PlaceOf(const DirectoryKeeperOptions& options) {
@@ -49,10 +47,6 @@
   return reservation;
 }
 
-bool IsLive(const PeerView& peer, SteadyTime now) {
-  return peer.heard_at && now - *peer.heard_at <= kPeerLoss;
-}
-
 }  // namespace
 
 DirectoryKeeper::DirectoryKeeper(DirectoryKeeperOptions options,
@@ -157,7 +151,7 @@
   directory::NodeDomains lost;
   live[options_.self] = place_.domain;
   for (const auto& [node, peer] : peers) {
-    (IsLive(peer, now) ? live : lost)[node] = peer.failure_domain;
+    (IsReachable(peer, now) ? live : lost)[node] = peer.failure_domain;
   }
   auto changed =
       peers.empty()
@@ -175,7 +169,7 @@
 void DirectoryKeeper::ForgetLostPeers(const ClusterView::PeerMap& peers,
                                       SteadyTime now) {
   for (const auto& [node, peer] : peers) {
-    if (peer.heard_at && !IsLive(peer, now)) {
+    if (peer.heard_at && !IsReachable(peer, now)) {
       directory::ForgetPeer(exchange_, node);
     }
   }
--- a/libs/node/src/node_gauges.cc
+++ b/libs/node/src/node_gauges.cc
@@ -23,8 +23,6 @@
 using telemetry::Gauge;
 using telemetry::SetGauge;
 
-constexpr Duration kReachable = std::chrono::seconds(2);
-
 double Seconds(Duration time) {
   return std::chrono::duration<double>(time).count();
 }
@@ -46,11 +44,9 @@
                       const DirectoryKeeper& directory,
                       SteadyTime now) {
   const auto peers = cluster.Peers();
-  const auto reachable =
-      std::count_if(peers.begin(), peers.end(), [&](const auto& peer) {
-        const auto& heard_at = peer.second.heard_at;
-        return heard_at && now - *heard_at <= kReachable;
-      });
+  const auto reachable = std::count_if(
+      peers.begin(), peers.end(),
+      [&](const auto& peer) { return IsReachable(peer.second, now); });
   SetGauge(metrics, Gauge::kPeersReachable, static_cast<double>(reachable));
   double ready = 0;
   double draining = 0;
