--- a/libs/peer/include/gooseberryrock/peer/frame_kind.h
+++ b/libs/peer/include/gooseberryrock/peer/frame_kind.h
@@ -20,9 +20,12 @@
   kDirectoryPull = 8,
   kPeerHeartbeat = 9,
   kCrashSuspicion = 10,
+  kEntryPoll = 11,
+  kEntryPollReply = 12,
+  kControlHello = 13,
 };
 
-inline constexpr uint32_t kMaxFrameKind = 10;
+inline constexpr uint32_t kMaxFrameKind = 13;
 
 }  // namespace gooseberryrock::peer
 
