transport: one asynchronous HTTP stack on Boost.Beast

Change: a server with limits on header, body and time, which refuses a body whose length is given in two ways and reports that a caller has closed; client connections that send once, find bytes behind a reply and tell a lost reply from a whole one.

--- /dev/null
+++ b/libs/transport/include/gooseberryrock/transport/connection_fields.h
@@ -0,0 +1,16 @@
+// Header fields that concern one connection only.
+
+#ifndef GOOSEBERRYROCK_TRANSPORT_CONNECTION_FIELDS_H_
+#define GOOSEBERRYROCK_TRANSPORT_CONNECTION_FIELDS_H_
+
+#include <boost/beast/http/fields.hpp>
+
+namespace gooseberryrock::transport {
+
+// Removes the fields that must not be forwarded: those that RFC 9110, section
+// 7.6.1, names and those that the Connection field lists.
+void RemoveConnectionFields(boost::beast::http::fields& fields);
+
+}  // namespace gooseberryrock::transport
+
+#endif  // GOOSEBERRYROCK_TRANSPORT_CONNECTION_FIELDS_H_
--- /dev/null
+++ b/libs/transport/src/server_connection.cc
@@ -0,0 +1,150 @@
+// One connection to a backend server.
+
+#include "gooseberryrock/transport/server_connection.h"
+
+#include <optional>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include "gooseberryrock/transport/endpoint.h"
+#include "socket_options.h"
+
+namespace gooseberryrock::transport {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using ErrorCode = boost::system::error_code;
+
+struct ServerConnection::Impl {
+  explicit Impl(asio::io_context& context)
+      : socket(context), connect_timer(context) {}
+
+  asio::ip::tcp::socket socket;
+  asio::steady_timer connect_timer;
+  boost::beast::flat_buffer buffer;
+  Request request;
+  bool writing = false;
+  std::optional<http::response_parser<http::string_body>> parser;
+  ReplyHandler on_reply;
+  // Rises with each Send(), so that an earlier idle watch is ignored.
+  uint64_t uses = 0;
+  bool closed = false;
+};
+
+ServerConnection::ServerConnection(asio::io_context& context)
+    : impl_(std::make_unique<Impl>(context)) {}
+
+ServerConnection::~ServerConnection() = default;
+
+void ServerConnection::Connect(const Endpoint& endpoint,
+                               Duration timeout,
+                               ConnectHandler handler) {
+  ErrorCode ec;
+  const auto address = asio::ip::make_address(endpoint.host, ec);
+  auto self = shared_from_this();
+  auto done = [self, handler = std::move(handler)](const ErrorCode& result) {
+    Impl& impl = *self->impl_;
+    impl.connect_timer.cancel();
+    if (impl.closed) {
+      return;
+    }
+    if (!result) {
+      SetSocketOptions(impl.socket);
+    }
+    handler(!result);
+  };
+  if (ec) {
+    asio::post(impl_->socket.get_executor(), [done, ec] { done(ec); });
+    return;
+  }
+  impl_->connect_timer.expires_after(timeout);
+  impl_->connect_timer.async_wait([self](const ErrorCode& result) {
+    if (!result) {
+      ErrorCode ignored;
+      self->impl_->socket.close(ignored);
+    }
+  });
+  impl_->socket.async_connect({address, endpoint.port}, done);
+}
+
+void ServerConnection::Send(Request request,
+                            size_t max_body,
+                            ReplyHandler handler) {
+  Impl& impl = *impl_;
+  ++impl.uses;
+  impl.request = std::move(request);
+  impl.writing = true;
+  auto self = shared_from_this();
+  http::async_write(impl.socket, impl.request,
+                    [self](const ErrorCode& ec, size_t) {
+                      if (!ec) {
+                        self->impl_->writing = false;
+                      }
+                      // A failed write shows as a failed read as well.
+                    });
+  ReadAnother(max_body, std::move(handler));
+}
+
+void ServerConnection::ReadAnother(size_t max_body, ReplyHandler handler) {
+  Impl& impl = *impl_;
+  impl.on_reply = std::move(handler);
+  impl.parser.emplace();
+  impl.parser->body_limit(max_body);
+  if (impl.request.method() == http::verb::head) {
+    impl.parser->skip(true);
+  }
+  auto self = shared_from_this();
+  http::async_read(
+      impl.socket, impl.buffer, *impl.parser,
+      [self](const ErrorCode& ec, size_t) {
+        Impl& it = *self->impl_;
+        if (it.closed) {
+          return;
+        }
+        Reply reply;
+        if (!ec) {
+          reply.status = ReplyStatus::kComplete;
+          // Bytes behind the reply, or a request body that the peer has not
+          // read yet, would be taken for part of the next exchange.
+          reply.reusable =
+              it.parser->keep_alive() && !it.writing && it.buffer.size() == 0;
+          reply.response = it.parser->release();
+        } else if (ec.category() ==
+                       http::make_error_code(http::error{}).category() &&
+                   ec != http::error::end_of_stream &&
+                   ec != http::error::partial_message) {
+          reply.status = ReplyStatus::kMalformed;
+        }
+        std::exchange(it.on_reply, nullptr)(std::move(reply));
+      });
+}
+
+void ServerConnection::WatchIdle(std::function<void()> handler) {
+  auto self = shared_from_this();
+  const uint64_t uses = impl_->uses;
+  impl_->socket.async_wait(
+      asio::ip::tcp::socket::wait_read,
+      [self, uses, handler = std::move(handler)](const ErrorCode& ec) {
+        if (!ec && !self->impl_->closed && self->impl_->uses == uses) {
+          handler();
+        }
+      });
+}
+
+void ServerConnection::Close() {
+  if (impl_->closed) {
+    return;
+  }
+  impl_->closed = true;
+  impl_->on_reply = nullptr;
+  impl_->connect_timer.cancel();
+  ErrorCode ignored;
+  impl_->socket.close(ignored);
+}
+
+}  // namespace gooseberryrock::transport
--- /dev/null
+++ b/libs/transport/src/transport_error.cc
@@ -0,0 +1,3 @@
+// A socket could not be opened.
+
+#include "gooseberryrock/transport/transport_error.h"
--- /dev/null
+++ b/libs/transport/src/web_session.cc
@@ -0,0 +1,294 @@
+// One connection of a caller.
+
+#include "web_session.h"
+
+#include <sys/socket.h>
+
+#include <array>
+#include <utility>
+
+#include "gooseberryrock/base/clock.h"
+
+namespace gooseberryrock::transport {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using ErrorCode = boost::system::error_code;
+
+namespace {
+
+// A response may take this long to leave; a caller that does not read is cut.
+constexpr Duration kWriteTimeout = std::chrono::seconds(10);
+// After an error the connection stays open this long, so that the response is
+// not lost with the bytes that were not read.
+constexpr Duration kLingerTimeout = std::chrono::seconds(2);
+
+http::status StatusOf(const ErrorCode& ec) {
+  if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
+    return http::status::request_header_fields_too_large;
+  }
+  if (ec == http::error::body_limit) {
+    return http::status::payload_too_large;
+  }
+  return http::status::bad_request;
+}
+
+bool IsParseError(const ErrorCode& ec) {
+  return ec.category() == http::make_error_code(http::error{}).category() &&
+         ec != http::error::end_of_stream && ec != http::error::partial_message;
+}
+
+// Whether the header says in two ways how long the body is. A peer that reads
+// it differently would take part of the body for another request.
+bool IsAmbiguous(const http::request<http::string_body>& request) {
+  return request.count(http::field::content_length) +
+             request.count(http::field::transfer_encoding) >
+         1;
+}
+
+}  // namespace
+
+Exchange::Exchange(std::shared_ptr<WebSession> session,
+                   Request request,
+                   SteadyTime received_at)
+    : session_(std::move(session)),
+      request_(std::move(request)),
+      received_at_(received_at) {}
+
+Exchange::~Exchange() {
+  if (session_) {
+    session_->Close();
+  }
+}
+
+void Exchange::Respond(Response response) {
+  on_gone_ = nullptr;
+  if (auto session = std::exchange(session_, nullptr)) {
+    session->Respond(std::move(response), request_.keep_alive());
+  }
+}
+
+void Exchange::OnCallerGone(std::function<void()> handler) {
+  on_gone_ = std::move(handler);
+}
+
+WebSession::WebSession(asio::ip::tcp::socket socket,
+                       size_t thread,
+                       std::shared_ptr<WebServerShared> shared)
+    : socket_(std::move(socket)), thread_(thread), shared_(std::move(shared)) {}
+
+void WebSession::Start() {
+  deadline_ = BootTime() + shared_->Limits().idle_timeout;
+  WaitForData();
+}
+
+void WebSession::WaitForData() {
+  if (waiting_) {
+    return;
+  }
+  waiting_ = true;
+  socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this()](const ErrorCode& ec) {
+                       self->waiting_ = false;
+                       if (!ec) {
+                         self->OnReadable();
+                       }
+                     });
+}
+
+void WebSession::OnReadable() {
+  if (state_ == State::kIdle) {
+    ReadHeader();
+  } else if (state_ == State::kBusy) {
+    CheckCallerGone();
+  } else if (state_ == State::kWriting) {
+    data_pending_ = true;
+  }
+}
+
+void WebSession::ReadHeader() {
+  state_ = State::kReading;
+  data_pending_ = false;
+  const WebLimits limits = shared_->Limits();
+  deadline_ = BootTime() + limits.header_timeout;
+  parser_.emplace();
+  parser_->header_limit(static_cast<uint32_t>(limits.header_bytes));
+  parser_->body_limit(limits.body_bytes);
+  http::async_read_header(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](const ErrorCode& ec, size_t) {
+        if (self->state_ == State::kClosed) {
+          return;
+        }
+        if (ec) {
+          IsParseError(ec) ? self->RespondToError(StatusOf(ec)) : self->Close();
+          return;
+        }
+        self->ReadBody();
+      });
+}
+
+void WebSession::ReadBody() {
+  if (IsAmbiguous(parser_->get())) {
+    RespondToError(http::status::bad_request);
+    return;
+  }
+  if (parser_->is_done()) {
+    Dispatch();
+    return;
+  }
+  const auto length = parser_->content_length();
+  if (length && *length > shared_->Limits().body_bytes) {
+    RespondToError(http::status::payload_too_large);
+    return;
+  }
+  deadline_ = BootTime() + shared_->Limits().body_timeout;
+  http::async_read(socket_, buffer_, *parser_,
+                   [self = shared_from_this()](const ErrorCode& ec, size_t) {
+                     if (self->state_ == State::kClosed) {
+                       return;
+                     }
+                     if (ec) {
+                       IsParseError(ec) ? self->RespondToError(StatusOf(ec))
+                                        : self->Close();
+                       return;
+                     }
+                     self->Dispatch();
+                   });
+}
+
+void WebSession::Dispatch() {
+  state_ = State::kBusy;
+  // The handler bounds the time of a request in progress.
+  deadline_ = SteadyTime::max();
+  ++shared_->open_requests;
+  auto exchange = std::make_shared<Exchange>(shared_from_this(),
+                                             parser_->release(), BootTime());
+  exchange_ = exchange;
+  if (buffer_.size() == 0) {
+    WaitForData();
+  }
+  shared_->handler(thread_, std::move(exchange));
+}
+
+void WebSession::CheckCallerGone() {
+  std::array<char, 1> byte{};
+  const ssize_t n = recv(socket_.native_handle(), byte.data(), byte.size(),
+                         MSG_PEEK | MSG_DONTWAIT);
+  if (n > 0) {
+    data_pending_ = true;
+    return;
+  }
+  if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
+    WaitForData();
+    return;
+  }
+  std::function<void()> on_gone;
+  if (auto exchange = exchange_.lock()) {
+    on_gone = std::exchange(exchange->on_gone_, nullptr);
+  }
+  Close();
+  if (on_gone) {
+    on_gone();
+  }
+}
+
+void WebSession::RespondToError(http::status status) {
+  state_ = State::kBusy;
+  ++shared_->open_requests;
+  Response response(status, 11);
+  Respond(std::move(response), /*caller_keeps_alive=*/false);
+}
+
+void WebSession::Respond(Response response, bool caller_keeps_alive) {
+  if (state_ != State::kBusy) {
+    return;
+  }
+  state_ = State::kWriting;
+  --shared_->open_requests;
+  deadline_ = BootTime() + kWriteTimeout;
+  const bool keep_alive = caller_keeps_alive && !shared_->draining;
+  response_ = std::move(response);
+  response_.keep_alive(keep_alive);
+  response_.prepare_payload();
+  http::async_write(
+      socket_, response_,
+      [self = shared_from_this(), keep_alive](const ErrorCode& ec, size_t) {
+        self->OnWritten(static_cast<bool>(ec), keep_alive);
+      });
+}
+
+void WebSession::OnWritten(bool failed, bool keep_alive) {
+  if (state_ == State::kClosed) {
+    return;
+  }
+  if (failed) {
+    Close();
+    return;
+  }
+  if (!keep_alive) {
+    Linger();
+    return;
+  }
+  state_ = State::kIdle;
+  deadline_ = BootTime() + shared_->Limits().idle_timeout;
+  if (buffer_.size() > 0 || data_pending_) {
+    ReadHeader();
+  } else {
+    WaitForData();
+  }
+}
+
+void WebSession::Linger() {
+  state_ = State::kLingering;
+  deadline_ = BootTime() + kLingerTimeout;
+  ErrorCode ignored;
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  ReadLeftover();
+}
+
+void WebSession::ReadLeftover() {
+  buffer_.clear();
+  constexpr size_t kChunk = 4096;
+  socket_.async_read_some(
+      buffer_.prepare(kChunk),
+      [self = shared_from_this()](const ErrorCode& ec, size_t) {
+        if (ec) {
+          self->Close();
+        } else if (self->state_ != State::kClosed) {
+          self->ReadLeftover();
+        }
+      });
+}
+
+void WebSession::CheckDeadline(SteadyTime now) {
+  if (now >= deadline_) {
+    Close();
+  }
+}
+
+void WebSession::CloseIfIdle() {
+  if (state_ != State::kIdle) {
+    return;
+  }
+  ErrorCode ec;
+  if (socket_.available(ec) > 0) {
+    ReadHeader();
+  } else {
+    Close();
+  }
+}
+
+void WebSession::Close() {
+  if (state_ == State::kClosed) {
+    return;
+  }
+  if (state_ == State::kBusy) {
+    --shared_->open_requests;
+  }
+  state_ = State::kClosed;
+  ErrorCode ignored;
+  socket_.close(ignored);
+}
+
+}  // namespace gooseberryrock::transport
--- /dev/null
+++ b/libs/transport/src/web_session.h
@@ -0,0 +1,94 @@
+// One connection of a caller.
+
+#ifndef GOOSEBERRYROCK_LIBS_TRANSPORT_SRC_WEB_SESSION_H_
+#define GOOSEBERRYROCK_LIBS_TRANSPORT_SRC_WEB_SESSION_H_
+
+#include <atomic>
+#include <functional>
+#include <list>
+#include <memory>
+#include <mutex>
+#include <optional>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include "gooseberryrock/base/time.h"
+#include "gooseberryrock/transport/exchange.h"
+#include "gooseberryrock/transport/http_message.h"
+#include "gooseberryrock/transport/web_server.h"
+
+namespace gooseberryrock::transport {
+
+// What the sessions of all threads share.
+struct WebServerShared {
+  WebServer::Handler handler;
+  std::atomic<bool> draining = false;
+  std::atomic<size_t> open_requests = 0;
+
+  WebLimits Limits() const {
+    std::lock_guard lock(mutex);
+    return limits;
+  }
+
+  mutable std::mutex mutex;
+  // Guarded by `mutex`.
+  WebLimits limits;
+};
+
+class WebSession;
+
+// The sessions of one thread; used on that thread only.
+using WebSessionList = std::list<std::weak_ptr<WebSession>>;
+
+class WebSession : public std::enable_shared_from_this<WebSession> {
+ public:
+  // `thread` is the index of the session's thread.
+  WebSession(boost::asio::ip::tcp::socket socket,
+             size_t thread,
+             std::shared_ptr<WebServerShared> shared);
+
+  void Start();
+  void Respond(Response response, bool caller_keeps_alive);
+  // Closes the connection when `now` is past its deadline.
+  void CheckDeadline(SteadyTime now);
+  // Closes the connection when it carries no request.
+  void CloseIfIdle();
+  void Close();
+
+ private:
+  enum class State { kIdle, kReading, kBusy, kWriting, kLingering, kClosed };
+
+  void WaitForData();
+  void OnReadable();
+  void ReadHeader();
+  void ReadBody();
+  void Dispatch();
+  void RespondToError(boost::beast::http::status status);
+  void CheckCallerGone();
+  void OnWritten(bool failed, bool keep_alive);
+  void Linger();
+  void ReadLeftover();
+
+  boost::asio::ip::tcp::socket socket_;
+  const size_t thread_;
+  const std::shared_ptr<WebServerShared> shared_;
+  State state_ = State::kIdle;
+  // A wait for data is under way; there is at most one.
+  bool waiting_ = false;
+  // Data arrived while a request was in progress.
+  bool data_pending_ = false;
+  SteadyTime deadline_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<
+      boost::beast::http::request_parser<boost::beast::http::string_body>>
+      parser_;
+  // The request in progress.
+  std::weak_ptr<Exchange> exchange_;
+  Response response_;
+};
+
+}  // namespace gooseberryrock::transport
+
+#endif  // GOOSEBERRYROCK_LIBS_TRANSPORT_SRC_WEB_SESSION_H_
