relay: decisions for relayed and gathered requests

Cause: the users' routes forward whole requests and gather the greatest records of shards. Change: a state machine of one request, choice of the server by expected time, suspicion of servers that do not respond, hedges within the budget of query::AttemptBudget, answers that are settled before the target latency.

--- /dev/null
+++ b/libs/relay/include/gooseberryrock/relay/relay_policy.h
@@ -0,0 +1,60 @@
+// Parameters of the decisions about relayed and gathered requests.
+
+#ifndef GOOSEBERRYROCK_RELAY_RELAY_POLICY_H_
+#define GOOSEBERRYROCK_RELAY_RELAY_POLICY_H_
+
+#include "gooseberryrock/base/time.h"
+
+namespace gooseberryrock::relay {
+
+struct RelayPolicy {
+  // An answer has to leave this long before a target or deadline of the caller:
+  // two round trips of a caller link of 3 ms, one of them for a new connection.
+  Duration answer_margin = std::chrono::milliseconds(13);
+
+  // Added to the cost of a server in another failure domain: the round trip of
+  // today's deployments (3 ms) and as much again for the traffic, which is
+  // charged for.
+  Duration cross_domain_cost = std::chrono::milliseconds(7);
+  // Cost of opening a connection: today's servers take up to 6 ms.
+  Duration connect_cost = std::chrono::milliseconds(8);
+  // Cost of a server that has an attempt without a reply beyond the usual time,
+  // or that failed lately: more than any target latency of today.
+  Duration suspect_cost = std::chrono::seconds(2);
+  // Part of the typical time that a server costs more when all of its slots
+  // are busy, so that equal servers share the work.
+  double balance = 0.5;
+
+  // The share of the replies that arrive before an attempt counts as overdue.
+  double overdue_quantile = 0.95;
+  // An attempt is never overdue before this time, which is twice the round trip
+  // between failure domains and a reply of the fastest kind of request.
+  Duration least_overdue = std::chrono::milliseconds(8);
+  // Part of the target latency after which an attempt is overdue at the latest:
+  // a second one then has as much time again.
+  double most_overdue_share = 0.45;
+  // Typical and overdue time before there are enough samples, as parts of the
+  // target latency.
+  double unknown_typical_share = 0.15;
+  double unknown_overdue_share = 0.35;
+
+  // Extra attempts (hedges and retries) that each first attempt earns. Below
+  // the 0.2 that the users allow, for attempts that are under way.
+  double budget_share = 0.17;
+  // Most extra attempts that a node saves up for each service. The users allow
+  // 52 in 10 s beyond the share, over about 9 nodes with the added ones.
+  double budget_capacity = 4;
+
+  // First and longest wait before a server that failed is tried again. The
+  // longest is the time that a restarted server may stay without work.
+  Duration first_probe_wait = std::chrono::milliseconds(200);
+  Duration longest_probe_wait = std::chrono::seconds(2);
+  // Half-life of what is known of a server's speed: it is tried again later.
+  Duration memory_half_life = std::chrono::seconds(2);
+  // A load report is worth nothing after this time.
+  Duration load_report_life = std::chrono::milliseconds(300);
+};
+
+}  // namespace gooseberryrock::relay
+
+#endif  // GOOSEBERRYROCK_RELAY_RELAY_POLICY_H_
--- /dev/null
+++ b/libs/relay/include/gooseberryrock/relay/service_pool.h
@@ -0,0 +1,65 @@
+// The backend servers of one service, and how fast they answer.
+
+#ifndef GOOSEBERRYROCK_RELAY_SERVICE_POOL_H_
+#define GOOSEBERRYROCK_RELAY_SERVICE_POOL_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "gooseberryrock/base/ids.h"
+#include "gooseberryrock/base/rank.h"
+#include "gooseberryrock/base/time.h"
+#include "gooseberryrock/query/attempt_budget.h"
+#include "gooseberryrock/query/latency_estimate.h"
+#include "gooseberryrock/relay/pool_server.h"
+
+namespace gooseberryrock::relay {
+
+struct RelayPolicy;
+
+// Reply times of requests of one rank.
+struct ReplyTimes {
+  query::LatencyEstimate estimate;
+  // From the estimate, refreshed every few milliseconds; zero while unknown.
+  Duration typical = Duration::zero();
+  Duration overdue = Duration::zero();
+  SteadyTime refreshed_at;
+};
+
+struct ServicePool {
+  ServiceName service;
+  std::vector<PoolServer> servers;
+  std::array<ReplyTimes, kRankCount> times;
+  query::AttemptBudget budget;
+};
+
+using PoolMap = std::map<ServiceName, ServicePool>;
+
+ServicePool MakePool(const ServiceName& service, const RelayPolicy& policy);
+
+// Null when there is no such server.
+PoolServer* FindServer(ServicePool& pool, const BackendServerId& id);
+
+void RecordReplyTime(ServicePool& pool,
+                     const RelayPolicy& policy,
+                     Rank rank,
+                     Duration elapsed,
+                     SteadyTime now);
+
+// The usual time of a reply to a request of `rank` with `target_latency`.
+Duration TypicalTime(const ServicePool& pool,
+                     const RelayPolicy& policy,
+                     Rank rank,
+                     Duration target_latency);
+
+// When an attempt without a reply counts as overdue.
+Duration OverdueAfter(const ServicePool& pool,
+                      const RelayPolicy& policy,
+                      Rank rank,
+                      Duration target_latency);
+
+}  // namespace gooseberryrock::relay
+
+#endif  // GOOSEBERRYROCK_RELAY_SERVICE_POOL_H_
--- /dev/null
+++ b/libs/relay/src/choose_server.cc
@@ -0,0 +1,106 @@
+// Choice of the backend server for one attempt.
+
+#include "gooseberryrock/relay/choose_server.h"
+
+#include <algorithm>
+
+#include "gooseberryrock/relay/pool_server.h"
+#include "gooseberryrock/relay/relay_policy.h"
+#include "gooseberryrock/relay/service_pool.h"
+
+namespace gooseberryrock::relay {
+
+namespace {
+
+bool IsCandidate(const PoolServer& server,
+                 const Selection& selection,
+                 SteadyTime now) {
+  if (!server.usable || server.connection_share == 0) {
+    return false;
+  }
+  if (selection.only_healthy && IsSuspect(server.stats, now)) {
+    return false;
+  }
+  return std::find(selection.excluded.begin(), selection.excluded.end(),
+                   server.id) == selection.excluded.end();
+}
+
+bool IsDueForProbe(const PoolServer& server, SteadyTime now) {
+  return server.stats.failures_in_row > 0 && server.stats.overdue == 0 &&
+         now >= server.stats.next_probe;
+}
+
+Duration Scale(Duration duration, double factor) {
+  return std::chrono::duration_cast<Duration>(duration * factor);
+}
+
+}  // namespace
+
+Duration ServerCost(const ServicePool& pool,
+                    const PoolServer& server,
+                    const RelayPolicy& policy,
+                    const Selection& selection,
+                    SteadyTime now) {
+  const Duration typical =
+      TypicalTime(pool, policy, selection.rank, selection.target_latency);
+  const double load =
+      LoadAt(server.stats, policy, now) + static_cast<double>(server.queued);
+  const double slots = std::max<double>(server.slots, 1);
+  const double slowness = SlownessAt(server.stats, policy, now);
+  const double waiting = std::max(0.0, load + 1 - slots) / slots;
+  Duration cost =
+      Scale(typical, slowness * (1 + waiting + policy.balance * load / slots));
+  cost += Scale(selection.target_latency, server.stats.failure_share);
+  if (!server.own_domain) {
+    cost += policy.cross_domain_cost;
+  }
+  if (server.idle_connections == 0) {
+    cost += server.connections < server.connection_share ? policy.connect_cost
+                                                         : typical;
+  }
+  if (IsSuspect(server.stats, now)) {
+    cost += policy.suspect_cost;
+  }
+  return cost;
+}
+
+std::optional<size_t> ChooseServer(ServicePool& pool,
+                                   const RelayPolicy& policy,
+                                   const Selection& selection,
+                                   std::mt19937_64& random,
+                                   SteadyTime now) {
+  std::optional<size_t> best;
+  Duration best_cost = Duration::max();
+  uint32_t equal = 0;
+  for (size_t i = 0; i < pool.servers.size(); ++i) {
+    PoolServer& server = pool.servers[i];
+    if (!IsCandidate(server, selection, now)) {
+      continue;
+    }
+    if (IsDueForProbe(server, now)) {
+      server.stats.next_probe = now + policy.longest_probe_wait;
+      return i;
+    }
+    const Duration cost = ServerCost(pool, server, policy, selection, now);
+    if (cost > best_cost) {
+      continue;
+    }
+    equal = cost < best_cost ? 1 : equal + 1;
+    // Keeps each of the equal candidates with the same probability.
+    if (equal == 1 || random() % equal == 0) {
+      best = i;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+bool IsUnavailable(const ServicePool& pool, SteadyTime now) {
+  return std::all_of(
+      pool.servers.begin(), pool.servers.end(), [now](const PoolServer& it) {
+        return !it.usable ||
+               (IsSuspect(it.stats, now) && it.stats.failures_in_row > 0);
+      });
+}
+
+}  // namespace gooseberryrock::relay
--- /dev/null
+++ b/libs/relay/src/request_machine.cc
@@ -0,0 +1,421 @@
+// The life of a relayed or gathered request.
+
+#include "gooseberryrock/relay/request_machine.h"
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+#include "gooseberryrock/relay/choose_server.h"
+#include "gooseberryrock/relay/gather.h"
+#include "gooseberryrock/relay/relay_policy.h"
+#include "gooseberryrock/relay/server_reply.h"
+
+namespace gooseberryrock::relay {
+
+namespace {
+
+// Attempts of one part that were refused or not sent, before it is given up:
+// as many as a service has servers today.
+constexpr uint32_t kMostRefusals = 3;
+// When a caller may come back if nothing better is known: the time in which a
+// server is announced and tried again.
+constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(300);
+
+enum class Reach { kAnyServer, kHealthyServers };
+
+RequestAttempt* Find(RequestState& state, AttemptNumber number) {
+  auto it = std::find_if(
+      state.attempts.begin(), state.attempts.end(),
+      [number](const RequestAttempt& n) { return n.number == number; });
+  return it == state.attempts.end() ? nullptr : &*it;
+}
+
+RequestAttempt Remove(RequestState& state, AttemptNumber number) {
+  auto it = std::find_if(
+      state.attempts.begin(), state.attempts.end(),
+      [number](const RequestAttempt& n) { return n.number == number; });
+  RequestAttempt attempt = std::move(*it);
+  state.attempts.erase(it);
+  --state.parts[attempt.part].open_attempts;
+  return attempt;
+}
+
+Duration OverdueTime(const RequestState& state,
+                     const RequestPart& part,
+                     const RelayContext& context) {
+  return OverdueAfter(*part.pool, context.policy, state.route->rank,
+                      state.route->target_latency);
+}
+
+// Gives the part one more attempt. Returns false when there is no server.
+bool AddAttempt(RequestState& state,
+                size_t index,
+                AttemptCause cause,
+                Reach reach,
+                RelayContext context,
+                SteadyTime now,
+                RequestEffects& effects) {
+  RequestPart& part = state.parts[index];
+  Selection selection;
+  selection.rank = state.route->rank;
+  selection.target_latency = state.route->target_latency;
+  selection.excluded = part.tried;
+  selection.only_healthy = reach == Reach::kHealthyServers;
+  const auto server =
+      ChooseServer(*part.pool, context.policy, selection, context.random, now);
+  if (!server) {
+    return false;
+  }
+  RequestAttempt attempt;
+  attempt.number = state.next_attempt++;
+  attempt.part = index;
+  attempt.server = part.pool->servers[*server].id;
+  attempt.started = now;
+  part.tried.push_back(attempt.server);
+  ++part.open_attempts;
+  effects.send.push_back({attempt.number, part.pool, attempt.server, cause});
+  state.attempts.push_back(std::move(attempt));
+  return true;
+}
+
+void FailPart(RequestState& state, RequestPart& part) {
+  if (!part.failed && !part.answered) {
+    part.failed = true;
+    ++state.parts_failed;
+  }
+}
+
+void Finish(RequestState& state, Outcome outcome, RequestEffects& effects) {
+  state.finished = true;
+  for (const RequestAttempt& it : state.attempts) {
+    effects.drop.push_back({it.number, /*close=*/false});
+  }
+  state.attempts.clear();
+  effects.send.clear();
+  effects.next_timer.reset();
+  effects.outcome = std::move(outcome);
+}
+
+Outcome Gather(const RequestState& state, bool settled_early) {
+  std::vector<std::string_view> bodies;
+  GatheredOutcome outcome;
+  for (const RequestPart& part : state.parts) {
+    if (part.answered) {
+      bodies.push_back(part.body);
+      outcome.digests.push_back(part.digest);
+    }
+  }
+  outcome.body = GreatestRecords(bodies, state.top_records);
+  outcome.missing_shards =
+      static_cast<uint32_t>(state.parts.size() - outcome.digests.size());
+  outcome.settled_early = settled_early;
+  return outcome;
+}
+
+bool MayHaveRun(const RequestState& state) {
+  return std::any_of(state.parts.begin(), state.parts.end(),
+                     [](const RequestPart& it) { return it.may_have_run; });
+}
+
+// How long until a server of a part without one is tried again.
+Duration RetryAfter(const RequestState& state, SteadyTime now) {
+  Duration wait = Duration::zero();
+  for (const RequestPart& part : state.parts) {
+    if (!IsUnavailable(*part.pool, now)) {
+      continue;
+    }
+    Duration soonest = Duration::max();
+    for (const PoolServer& it : part.pool->servers) {
+      if (it.usable) {
+        soonest = std::min(soonest, it.stats.next_probe - now);
+      }
+    }
+    if (soonest < Duration::max()) {
+      wait = std::max(wait, soonest);
+    }
+  }
+  return std::max(wait, kDefaultRetryAfter);
+}
+
+// The outcome of a request whose parts cannot answer any more.
+Outcome Unanswerable(const RequestState& state,
+                     RefusalReason reason,
+                     SteadyTime now) {
+  if (state.failed_reply != 0) {
+    return RelayedOutcome{state.failed_reply};
+  }
+  if (!MayHaveRun(state)) {
+    return RefusedOutcome{reason, RetryAfter(state, now)};
+  }
+  return FailedOutcome{state.IsGathered()      ? FailureReason::kTooFewShards
+                       : state.connection_lost ? FailureReason::kConnectionLost
+                                               : FailureReason::kTimeout};
+}
+
+// Ends the request when nothing more is to be waited for, and sets the timer
+// otherwise.
+void Conclude(RequestState& state,
+              RelayContext context,
+              SteadyTime now,
+              RequestEffects& effects) {
+  if (state.finished) {
+    return;
+  }
+  const size_t n = state.parts.size();
+  const bool all_ended = state.parts_answered + state.parts_failed == n;
+  const bool enough = state.parts_answered >= state.least_parts;
+  if (state.IsGathered()) {
+    if (enough && (all_ended || now >= state.settle_at)) {
+      Finish(state, Gather(state, !all_ended), effects);
+      return;
+    }
+    if (n - state.parts_failed < state.least_parts) {
+      Finish(state, Unanswerable(state, RefusalReason::kShardsUnavailable, now),
+             effects);
+      return;
+    }
+  } else if (all_ended) {
+    Finish(state, Unanswerable(state, RefusalReason::kServersRefused, now),
+           effects);
+    return;
+  }
+  SteadyTime next = state.final_at;
+  if (state.IsGathered() && now < state.settle_at) {
+    next = std::min(next, state.settle_at);
+  }
+  for (const RequestAttempt& it : state.attempts) {
+    if (!it.overdue) {
+      next = std::min(
+          next, it.started + OverdueTime(state, state.parts[it.part], context));
+    }
+  }
+  effects.next_timer = next;
+}
+
+// An attempt of the part ended without an answer.
+void RetryPart(RequestState& state,
+               size_t index,
+               RelayContext context,
+               SteadyTime now,
+               RequestEffects& effects) {
+  RequestPart& part = state.parts[index];
+  if (part.answered || part.open_attempts > 0) {
+    return;
+  }
+  const bool repeatable = state.route->idempotent || !part.may_have_run;
+  const bool allowed = repeatable && part.sends < state.route->attempts &&
+                       part.refusals < kMostRefusals;
+  // An attempt that reached no server costs the servers nothing.
+  const bool free = part.sends == 0 && part.refusals == 0;
+  if (allowed && (free || query::SpendBudget(part.pool->budget)) &&
+      AddAttempt(state, index, AttemptCause::kRetry, Reach::kAnyServer, context,
+                 now, effects)) {
+    return;
+  }
+  FailPart(state, part);
+}
+
+// The attempt takes longer than usual: a second server is asked when that
+// is allowed, and an attempt that still waits for a connection is moved.
+void OnOverdue(RequestState& state,
+               AttemptNumber number,
+               RelayContext context,
+               SteadyTime now,
+               RequestEffects& effects) {
+  RequestAttempt& attempt = *Find(state, number);
+  attempt.overdue = true;
+  const size_t index = attempt.part;
+  RequestPart& part = state.parts[index];
+  if (!attempt.sent) {
+    if (AddAttempt(state, index, AttemptCause::kReroute, Reach::kHealthyServers,
+                   context, now, effects)) {
+      Remove(state, number);
+      effects.drop.push_back({number, /*close=*/false});
+    }
+    return;
+  }
+  effects.overdue.push_back(number);
+  if (state.route->idempotent && part.sends < state.route->attempts &&
+      part.open_attempts == 1 && part.pool->budget.tokens >= 1 &&
+      AddAttempt(state, index, AttemptCause::kHedge, Reach::kHealthyServers,
+                 context, now, effects)) {
+    query::SpendBudget(part.pool->budget);
+    state.hedged = true;
+  }
+}
+
+}  // namespace
+
+RequestState MakeRequest(const routes::Route& route,
+                         const std::vector<ServicePool*>& pools,
+                         const RelayPolicy& policy,
+                         SteadyTime received,
+                         SteadyTime caller_deadline) {
+  RequestState state;
+  state.route = &route;
+  state.received = received;
+  state.caller_deadline = caller_deadline;
+  state.settle_at = received + route.target_latency - policy.answer_margin;
+  state.final_at = std::min(caller_deadline - policy.answer_margin,
+                            received + route.timeout);
+  for (ServicePool* it : pools) {
+    state.parts.emplace_back().pool = it;
+  }
+  if (const auto* sharded = std::get_if<routes::ShardedTarget>(&route.target)) {
+    state.top_records = sharded->top_records;
+    state.least_parts = LeastShards(pools.size(), sharded->least_coverage);
+  }
+  return state;
+}
+
+RequestEffects StartRequest(RequestState& state,
+                            RelayContext context,
+                            SteadyTime now) {
+  RequestEffects effects;
+  if (now >= state.final_at) {
+    Finish(state, RefusedOutcome{RefusalReason::kNotInTime, kDefaultRetryAfter},
+           effects);
+    return effects;
+  }
+  for (size_t i = 0; i < state.parts.size(); ++i) {
+    RequestPart& part = state.parts[i];
+    query::EarnBudget(part.pool->budget, 1);
+    // A shard without a responding server would only delay the answer.
+    const bool skip = state.IsGathered() && IsUnavailable(*part.pool, now);
+    if (skip || !AddAttempt(state, i, AttemptCause::kFirst, Reach::kAnyServer,
+                            context, now, effects)) {
+      FailPart(state, part);
+    }
+  }
+  if (state.parts_failed == state.parts.size()) {
+    Finish(state,
+           RefusedOutcome{RefusalReason::kNoServer, RetryAfter(state, now)},
+           effects);
+    return effects;
+  }
+  Conclude(state, context, now, effects);
+  return effects;
+}
+
+RequestEffects OnAttemptSent(RequestState& state,
+                             AttemptNumber attempt,
+                             RelayContext context,
+                             SteadyTime now) {
+  RequestEffects effects;
+  if (RequestAttempt* it = Find(state, attempt)) {
+    it->sent = true;
+    it->overdue = false;
+    it->started = now;
+    RequestPart& part = state.parts[it->part];
+    part.may_have_run = true;
+    ++part.sends;
+    Conclude(state, context, now, effects);
+  }
+  return effects;
+}
+
+RequestEffects OnAttemptReply(RequestState& state,
+                              AttemptNumber number,
+                              ServerReply reply,
+                              RelayContext context,
+                              SteadyTime now) {
+  RequestEffects effects;
+  if (Find(state, number) == nullptr) {
+    return effects;
+  }
+  const RequestAttempt attempt = Remove(state, number);
+  RequestPart& part = state.parts[attempt.part];
+  if (part.answered) {
+    return effects;
+  }
+  if (reply.kind == ReplyKind::kSuccess) {
+    part.answered = true;
+    ++state.parts_answered;
+    part.digest = std::move(reply.digest);
+    part.body = std::move(reply.body);
+    if (!state.IsGathered()) {
+      Finish(state, RelayedOutcome{number}, effects);
+      return effects;
+    }
+    for (size_t i = state.attempts.size(); i-- > 0;) {
+      if (state.attempts[i].part == attempt.part) {
+        effects.drop.push_back({state.attempts[i].number, /*close=*/false});
+        Remove(state, state.attempts[i].number);
+      }
+    }
+  } else {
+    if (reply.kind != ReplyKind::kFailure) {
+      --part.sends;
+      ++part.refusals;
+      part.may_have_run = part.sends > 0;
+    } else if (!state.IsGathered()) {
+      state.failed_reply = number;
+    }
+    RetryPart(state, attempt.part, context, now, effects);
+  }
+  Conclude(state, context, now, effects);
+  return effects;
+}
+
+RequestEffects OnAttemptFailed(RequestState& state,
+                               AttemptNumber number,
+                               RelayContext context,
+                               SteadyTime now) {
+  RequestEffects effects;
+  if (Find(state, number) == nullptr) {
+    return effects;
+  }
+  const RequestAttempt attempt = Remove(state, number);
+  if (attempt.sent) {
+    state.connection_lost = true;
+  }
+  RetryPart(state, attempt.part, context, now, effects);
+  Conclude(state, context, now, effects);
+  return effects;
+}
+
+RequestEffects OnRequestTimer(RequestState& state,
+                              RelayContext context,
+                              SteadyTime now) {
+  RequestEffects effects;
+  if (state.finished) {
+    return effects;
+  }
+  if (now >= state.final_at) {
+    if (state.IsGathered() && state.parts_answered >= state.least_parts) {
+      Finish(state, Gather(state, /*settled_early=*/true), effects);
+    } else {
+      Finish(state, Unanswerable(state, RefusalReason::kNotInTime, now),
+             effects);
+    }
+    return effects;
+  }
+  std::vector<AttemptNumber> overdue;
+  for (const RequestAttempt& it : state.attempts) {
+    if (!it.overdue &&
+        now >= it.started + OverdueTime(state, state.parts[it.part], context)) {
+      overdue.push_back(it.number);
+    }
+  }
+  for (AttemptNumber it : overdue) {
+    OnOverdue(state, it, context, now, effects);
+  }
+  Conclude(state, context, now, effects);
+  return effects;
+}
+
+RequestEffects OnCallerGone(RequestState& state) {
+  RequestEffects effects;
+  if (state.finished) {
+    return effects;
+  }
+  state.finished = true;
+  for (const RequestAttempt& it : state.attempts) {
+    effects.drop.push_back({it.number, /*close=*/state.route->idempotent});
+  }
+  state.attempts.clear();
+  return effects;
+}
+
+}  // namespace gooseberryrock::relay
--- /dev/null
+++ b/libs/relay/src/service_pool.cc
@@ -0,0 +1,78 @@
+// The backend servers of one service.
+
+#include "gooseberryrock/relay/service_pool.h"
+
+#include <algorithm>
+
+#include "gooseberryrock/relay/relay_policy.h"
+
+namespace gooseberryrock::relay {
+
+namespace {
+
+// The quantiles are computed anew after this time.
+constexpr Duration kRefreshInterval = std::chrono::milliseconds(100);
+
+Duration Scale(Duration duration, double factor) {
+  return std::chrono::duration_cast<Duration>(duration * factor);
+}
+
+}  // namespace
+
+ServicePool MakePool(const ServiceName& service, const RelayPolicy& policy) {
+  ServicePool pool;
+  pool.service = service;
+  pool.budget.share = policy.budget_share;
+  pool.budget.capacity = policy.budget_capacity;
+  pool.budget.tokens = policy.budget_capacity;
+  return pool;
+}
+
+PoolServer* FindServer(ServicePool& pool, const BackendServerId& id) {
+  auto it = std::find_if(pool.servers.begin(), pool.servers.end(),
+                         [&](const PoolServer& n) { return n.id == id; });
+  return it == pool.servers.end() ? nullptr : &*it;
+}
+
+void RecordReplyTime(ServicePool& pool,
+                     const RelayPolicy& policy,
+                     Rank rank,
+                     Duration elapsed,
+                     SteadyTime now) {
+  ReplyTimes& times = pool.times[RankIndex(rank)];
+  query::RecordLatency(times.estimate, elapsed, now);
+  if (now - times.refreshed_at < kRefreshInterval) {
+    return;
+  }
+  times.refreshed_at = now;
+  constexpr double kMedian = 0.5;
+  times.typical = query::LatencyQuantile(times.estimate, kMedian)
+                      .value_or(Duration::zero());
+  times.overdue =
+      query::LatencyQuantile(times.estimate, policy.overdue_quantile)
+          .value_or(Duration::zero());
+}
+
+Duration TypicalTime(const ServicePool& pool,
+                     const RelayPolicy& policy,
+                     Rank rank,
+                     Duration target_latency) {
+  const Duration typical = pool.times[RankIndex(rank)].typical;
+  return typical > Duration::zero()
+             ? typical
+             : Scale(target_latency, policy.unknown_typical_share);
+}
+
+Duration OverdueAfter(const ServicePool& pool,
+                      const RelayPolicy& policy,
+                      Rank rank,
+                      Duration target_latency) {
+  const Duration overdue = pool.times[RankIndex(rank)].overdue;
+  if (overdue <= Duration::zero()) {
+    return Scale(target_latency, policy.unknown_overdue_share);
+  }
+  const Duration most = Scale(target_latency, policy.most_overdue_share);
+  return std::min(most, std::max(policy.least_overdue, overdue));
+}
+
+}  // namespace gooseberryrock::relay
