--- a/libs/node/include/gooseberryrock/node/control_client.h
+++ b/libs/control/include/gooseberryrock/control/control_client.h
@@ -1,8 +1,8 @@
 // Calls on the replicated log from any node: finds the leader, forwards the
 // call to it and brings the reply back.
 
-#ifndef GOOSEBERRYROCK_NODE_CONTROL_CLIENT_H_
-#define GOOSEBERRYROCK_NODE_CONTROL_CLIENT_H_
+#ifndef GOOSEBERRYROCK_CONTROL_CONTROL_CLIENT_H_
+#define GOOSEBERRYROCK_CONTROL_CONTROL_CLIENT_H_
 
 #include <condition_variable>
 #include <cstdint>
@@ -18,7 +18,7 @@
 #include "gooseberryrock/base/time.h"
 #include "peer.pb.h"
 
-namespace gooseberryrock::node {
+namespace gooseberryrock::control {
 
 class ReplicatedLog;
 struct SubmitResult;
@@ -49,8 +49,8 @@
       std::function<void(const NodeId& to, const proto::ForwardRequest&)>;
   using ReplySender =
       std::function<void(const NodeId& to, const proto::ForwardReply&)>;
-  // Reads the whole catalog for a call that asks for the current one.
-  using Reader = std::function<std::string()>;
+  // Reads what a call asks for: an encoded ForwardReply.
+  using Reader = std::function<std::string(const proto::ForwardRequest&)>;
 
   // `log` is null on a node that is no control VM.
   ControlClient(const ControlClientOptions& options,
@@ -99,6 +99,6 @@
   std::condition_variable replied_;
 };
 
-}  // namespace gooseberryrock::node
+}  // namespace gooseberryrock::control
 
-#endif  // GOOSEBERRYROCK_NODE_CONTROL_CLIENT_H_
+#endif  // GOOSEBERRYROCK_CONTROL_CONTROL_CLIENT_H_
--- a/libs/node/include/gooseberryrock/node/control_machine.h
+++ b/libs/control/include/gooseberryrock/control/control_machine.h
@@ -1,22 +1,31 @@
 // The state machine of the replicated log: the catalog and the claims.
 
-#ifndef GOOSEBERRYROCK_NODE_CONTROL_MACHINE_H_
-#define GOOSEBERRYROCK_NODE_CONTROL_MACHINE_H_
+#ifndef GOOSEBERRYROCK_CONTROL_CONTROL_MACHINE_H_
+#define GOOSEBERRYROCK_CONTROL_CONTROL_MACHINE_H_
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
 
 #include "gooseberryrock/catalog/catalog.h"
 #include "gooseberryrock/claims/claims.h"
-#include "gooseberryrock/node/state_machine.h"
+#include "gooseberryrock/control/state_machine.h"
 
-namespace gooseberryrock::node {
+namespace gooseberryrock::control {
+
+// The newest set of routes, as its sender wrote it.
+struct StoredRoutes {
+  // 0 when none was ever put.
+  uint64_t version = 0;
+  std::string compressed_text;
+};
 
 // Used on the thread of the replicated log only.
 struct ControlState {
   catalog::Catalog catalog;
   claims::ClaimsState claims;
+  StoredRoutes routes;
 };
 
 // Applies an encoded ControlEntry and returns an encoded ForwardReply. An entry
@@ -30,11 +39,12 @@
 ControlState DecodeSnapshot(std::string_view data);
 
 // The functions above over `state`, which must outlive the result. `on_catalog`
-// is called after each change of the catalog.
+// and `on_routes` are called after each change of the catalog or the routes.
 StateMachine MakeStateMachine(
     ControlState& state,
-    const std::function<void(const catalog::Catalog&)>& on_catalog);
+    const std::function<void(const catalog::Catalog&)>& on_catalog,
+    const std::function<void(const StoredRoutes&)>& on_routes);
 
-}  // namespace gooseberryrock::node
+}  // namespace gooseberryrock::control
 
-#endif  // GOOSEBERRYROCK_NODE_CONTROL_MACHINE_H_
+#endif  // GOOSEBERRYROCK_CONTROL_CONTROL_MACHINE_H_
--- a/libs/node/include/gooseberryrock/node/replicated_log.h
+++ b/libs/control/include/gooseberryrock/control/replicated_log.h
@@ -1,8 +1,8 @@
 // The replicated log on a control VM: one thread that owns the consensus state,
 // the data folder and the state machine.
 
-#ifndef GOOSEBERRYROCK_NODE_REPLICATED_LOG_H_
-#define GOOSEBERRYROCK_NODE_REPLICATED_LOG_H_
+#ifndef GOOSEBERRYROCK_CONTROL_REPLICATED_LOG_H_
+#define GOOSEBERRYROCK_CONTROL_REPLICATED_LOG_H_
 
 #include <functional>
 #include <map>
@@ -12,11 +12,11 @@
 #include "gooseberryrock/base/ids.h"
 #include "gooseberryrock/base/time.h"
 #include "gooseberryrock/consensus/consensus.h"
-#include "gooseberryrock/node/log_status.h"
-#include "gooseberryrock/node/state_machine.h"
-#include "gooseberryrock/node/submit_result.h"
+#include "gooseberryrock/control/log_status.h"
+#include "gooseberryrock/control/state_machine.h"
+#include "gooseberryrock/control/submit_result.h"
 
-namespace gooseberryrock::node {
+namespace gooseberryrock::control {
 
 struct ReplicatedLogOptions {
   NodeId self;
@@ -68,6 +68,6 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace gooseberryrock::node
+}  // namespace gooseberryrock::control
 
-#endif  // GOOSEBERRYROCK_NODE_REPLICATED_LOG_H_
+#endif  // GOOSEBERRYROCK_CONTROL_REPLICATED_LOG_H_
--- a/libs/node/include/gooseberryrock/node/state_machine.h
+++ b/libs/control/include/gooseberryrock/control/state_machine.h
@@ -1,13 +1,13 @@
 // The state machine that a replicated log drives.
 
-#ifndef GOOSEBERRYROCK_NODE_STATE_MACHINE_H_
-#define GOOSEBERRYROCK_NODE_STATE_MACHINE_H_
+#ifndef GOOSEBERRYROCK_CONTROL_STATE_MACHINE_H_
+#define GOOSEBERRYROCK_CONTROL_STATE_MACHINE_H_
 
 #include <functional>
 #include <string>
 #include <string_view>
 
-namespace gooseberryrock::node {
+namespace gooseberryrock::control {
 
 // All functions are called on the log's thread. `apply` and `restore` must be
 // deterministic, so that all replicas come to the same state.
@@ -16,10 +16,12 @@
   std::function<std::string(std::string_view payload)> apply;
   // The whole state.
   std::function<std::string()> snapshot;
+  // Returns to the state before the first entry.
+  std::function<void()> reset;
   // Replaces the state by one that `snapshot` returned.
   std::function<void(std::string_view data)> restore;
 };
 
-}  // namespace gooseberryrock::node
+}  // namespace gooseberryrock::control
 
-#endif  // GOOSEBERRYROCK_NODE_STATE_MACHINE_H_
+#endif  // GOOSEBERRYROCK_CONTROL_STATE_MACHINE_H_
--- a/libs/node/include/gooseberryrock/node/submit_result.h
+++ b/libs/control/include/gooseberryrock/control/submit_result.h
@@ -1,13 +1,13 @@
 // What became of an entry that was submitted to the replicated log.
 
-#ifndef GOOSEBERRYROCK_NODE_SUBMIT_RESULT_H_
-#define GOOSEBERRYROCK_NODE_SUBMIT_RESULT_H_
+#ifndef GOOSEBERRYROCK_CONTROL_SUBMIT_RESULT_H_
+#define GOOSEBERRYROCK_CONTROL_SUBMIT_RESULT_H_
 
 #include <string>
 
 #include "gooseberryrock/base/ids.h"
 
-namespace gooseberryrock::node {
+namespace gooseberryrock::control {
 
 enum class SubmitStatus {
   // Committed and applied.
@@ -28,6 +28,6 @@
   NodeId leader;
 };
 
-}  // namespace gooseberryrock::node
+}  // namespace gooseberryrock::control
 
-#endif  // GOOSEBERRYROCK_NODE_SUBMIT_RESULT_H_
+#endif  // GOOSEBERRYROCK_CONTROL_SUBMIT_RESULT_H_
--- a/libs/node/src/control_client.cc
+++ b/libs/control/src/control_client.cc
@@ -1,15 +1,16 @@
 // Calls on the replicated log from any node.
 
-#include "gooseberryrock/node/control_client.h"
+#include "gooseberryrock/control/control_client.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "control.pb.h"
-#include "gooseberryrock/node/replicated_log.h"
+#include "gooseberryrock/base/clock.h"
+#include "gooseberryrock/control/replicated_log.h"
 #include "gooseberryrock/proto/binary_codec.h"
 
-namespace gooseberryrock::node {
+namespace gooseberryrock::control {
 
 namespace {
 
@@ -19,7 +20,7 @@
 constexpr Duration kRetryPause = std::chrono::milliseconds(30);
 
 SteadyTime Now() {
-  return std::chrono::steady_clock::now();
+  return BootTime();
 }
 
 uint64_t WallMilliseconds() {
@@ -46,6 +47,9 @@
     case proto::ForwardRequest::kRelease:
       *entry.mutable_release() = request.release();
       break;
+    case proto::ForwardRequest::kPutRoutes:
+      *entry.mutable_put_routes() = request.put_routes();
+      break;
     default:
       break;
   }
@@ -150,8 +154,8 @@
     leader_.value = reply ? reply->leader() : "";
     if (leader_.empty() || leader_ == target) {
       leader_ = {};
-      replied_.wait_until(lock, std::min(deadline, Now() + kRetryPause),
-                          [] { return false; });
+      replied_.wait_for(lock, std::min(deadline - Now(), kRetryPause),
+                        [] { return false; });
     }
   }
   return result;
@@ -189,8 +193,8 @@
     send_request_(target, call);
   }
   lock.lock();
-  replied_.wait_until(lock, until,
-                      [&] { return waiting_[id].reply.has_value(); });
+  replied_.wait_for(lock, until - Now(),
+                    [&] { return waiting_[id].reply.has_value(); });
   auto reply = std::move(waiting_[id].reply);
   waiting_.erase(id);
   return reply;
@@ -210,8 +214,8 @@
     log_->ChangeMembership(
         ToChange(request.membership()),
         [finish](const SubmitResult& it) { finish(MembershipReply(it)); });
-  } else if (request.has_read()) {
-    log_->Read(read_,
+  } else if (request.has_read() || request.has_read_routes()) {
+    log_->Read([this, request] { return read_(request); },
                [finish](const SubmitResult& it) { finish(EntryReply(it)); });
   } else {
     log_->Submit(EncodeEntry(request),
@@ -243,4 +247,4 @@
   replied_.notify_all();
 }
 
-}  // namespace gooseberryrock::node
+}  // namespace gooseberryrock::control
--- a/libs/node/src/control_machine.cc
+++ b/libs/control/src/control_machine.cc
@@ -1,6 +1,6 @@
 // The state machine of the replicated log.
 
-#include "gooseberryrock/node/control_machine.h"
+#include "gooseberryrock/control/control_machine.h"
 
 #include <chrono>
 #include <utility>
@@ -14,7 +14,7 @@
 #include "gooseberryrock/proto/malformed_message_error.h"
 #include "peer.pb.h"
 
-namespace gooseberryrock::node {
+namespace gooseberryrock::control {
 
 namespace {
 
@@ -59,6 +59,19 @@
       catalog::ApplyCommand(state.catalog, proto::FromMessage(request)));
 }
 
+// The highest version wins. An equal or lower one is accepted and changes
+// nothing, so that a resent or overtaken call succeeds.
+proto::PutRoutesReply Apply(ControlState& state,
+                            const proto::PutRoutesRequest& request) {
+  const proto::RouteDocument& document = request.document();
+  if (document.version() > state.routes.version) {
+    state.routes = {document.version(), document.compressed_text()};
+  }
+  proto::PutRoutesReply reply;
+  reply.set_version(state.routes.version);
+  return reply;
+}
+
 proto::ForwardReply Apply(ControlState& state,
                           const proto::ControlEntry& entry) {
   const WallTime leader_time = ToWallTime(entry.leader_wall_ms());
@@ -76,6 +89,9 @@
     case proto::ControlEntry::kRelease:
       *reply.mutable_record() = Apply(state, entry.release(), leader_time);
       break;
+    case proto::ControlEntry::kPutRoutes:
+      *reply.mutable_put_routes() = Apply(state, entry.put_routes());
+      break;
     case proto::ControlEntry::CALL_NOT_SET:
       break;
   }
@@ -150,6 +166,8 @@
   }
   AddClaims(state.claims, snapshot);
   snapshot.set_log_time_ms(FromWallTime(state.claims.log_time));
+  snapshot.mutable_routes()->set_version(state.routes.version);
+  snapshot.mutable_routes()->set_compressed_text(state.routes.compressed_text);
   return snapshot.SerializeAsString();
 }
 
@@ -167,27 +185,36 @@
                          FromMessage(claim));
   }
   state.claims.log_time = ToWallTime(snapshot.log_time_ms());
+  state.routes = {snapshot.routes().version(),
+                  snapshot.routes().compressed_text()};
   return state;
 }
 
 StateMachine MakeStateMachine(
     ControlState& state,
-    const std::function<void(const catalog::Catalog&)>& on_catalog) {
+    const std::function<void(const catalog::Catalog&)>& on_catalog,
+    const std::function<void(const StoredRoutes&)>& on_routes) {
   StateMachine machine;
-  machine.apply = [&state, on_catalog](std::string_view payload) {
+  machine.apply = [&state, on_catalog, on_routes](std::string_view payload) {
     const uint64_t version = state.catalog.version;
+    const uint64_t routes_version = state.routes.version;
     std::string reply = ApplyEntry(state, payload);
     if (state.catalog.version != version) {
       on_catalog(state.catalog);
     }
+    if (state.routes.version != routes_version) {
+      on_routes(state.routes);
+    }
     return reply;
   };
   machine.snapshot = [&state] { return EncodeSnapshot(state); };
-  machine.restore = [&state, on_catalog](std::string_view data) {
+  machine.reset = [&state] { state = {}; };
+  machine.restore = [&state, on_catalog, on_routes](std::string_view data) {
     state = DecodeSnapshot(data);
     on_catalog(state.catalog);
+    on_routes(state.routes);
   };
   return machine;
 }
 
-}  // namespace gooseberryrock::node
+}  // namespace gooseberryrock::control
--- /dev/null
+++ b/libs/control/src/control_node.cc
@@ -0,0 +1,506 @@
+// A control VM.
+
+#include "gooseberryrock/control/control_node.h"
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "control_peers.h"
+#include "gooseberryrock/base/clock.h"
+#include "gooseberryrock/control/control_client.h"
+#include "gooseberryrock/control/control_dialect.h"
+#include "gooseberryrock/control/control_machine.h"
+#include "gooseberryrock/control/control_settings.h"
+#include "gooseberryrock/control/replicated_log.h"
+#include "gooseberryrock/peer/frame.h"
+#include "gooseberryrock/peer/peer_socket.h"
+#include "gooseberryrock/proto/binary_codec.h"
+#include "gooseberryrock/proto/malformed_message_error.h"
+#include "gooseberryrock/routes/compressed_text.h"
+#include "gooseberryrock/routes/route_error.h"
+#include "gooseberryrock/routes/validate_routes.h"
+#include "gooseberryrock/telemetry/log_event.h"
+#include "gooseberryrock/transport/exchange.h"
+#include "gooseberryrock/transport/io_thread.h"
+#include "gooseberryrock/transport/web_server.h"
+#include "peer.pb.h"
+#include "registry.h"
+#include "worker_pool.h"
+
+namespace gooseberryrock::control {
+
+namespace {
+
+using telemetry::LogLevel;
+
+// Control VMs tell each other about themselves this often; two lost hellos lie
+// within the time after which a VM no longer counts as present.
+constexpr Duration kHelloInterval = std::chrono::milliseconds(500);
+// The membership is checked this often, so that a VM with a new disk is a voter
+// again well within the 4 s that the users allow.
+constexpr Duration kRepairInterval = std::chrono::milliseconds(250);
+// Callers go on to another VM after a second without an answer.
+constexpr Duration kCallTimeout = std::chrono::milliseconds(900);
+// This VM hears of all changes while it is in contact with the leader: longer
+// than an election.
+constexpr Duration kContactTime = std::chrono::milliseconds(1500);
+// Operators have up to eight orders in progress, each of which waits for the
+// log on a thread of its own; reads come beside them.
+constexpr unsigned kWorkers = 10;
+constexpr size_t kMaxWaitingCalls = 64;
+constexpr size_t kMaxCallBytes = size_t{4} << 20U;
+// Calls that are in progress when the VM stops get this long.
+constexpr Duration kStopTime = std::chrono::seconds(2);
+constexpr Duration kStopCheck = std::chrono::milliseconds(20);
+
+uint64_t Incarnation() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+peer::PeerSocketOptions SocketOptions(const ControlSettings& settings,
+                                      uint64_t incarnation) {
+  peer::PeerSocketOptions options;
+  options.cluster = settings.cluster;
+  options.cluster_key = settings.cluster_key;
+  options.self = {settings.node, settings.node.value, settings.peer_port};
+  options.incarnation = incarnation;
+  return options;
+}
+
+ReplicatedLogOptions LogOptions(const ControlSettings& settings) {
+  ReplicatedLogOptions options;
+  options.self = settings.node;
+  options.cluster = settings.cluster;
+  options.data_folder = settings.data_folder;
+  if (settings.first_start) {
+    for (const NodeId& it : settings.control_vms) {
+      options.initial_members[it] = it.value;
+    }
+  }
+  return options;
+}
+
+RepairPolicy RepairPolicyOf(const ControlSettings& settings) {
+  RepairPolicy policy;
+  policy.voters = 2 * settings.tolerated_losses + 1;
+  return policy;
+}
+
+transport::WebLimits CallLimits() {
+  transport::WebLimits limits;
+  limits.body_bytes = kMaxCallBytes;
+  return limits;
+}
+
+}  // namespace
+
+struct ControlNode::Impl {
+  Impl(const ControlSettings& node_settings, const ControlDialect& node_dialect)
+      : settings(node_settings),
+        dialect(node_dialect),
+        incarnation(Incarnation()),
+        peers(settings.node, settings.failure_domain),
+        registry(
+            settings.node,
+            incarnation,
+            [this](const NodeId& to, peer::FrameKind kind, std::string body) {
+              socket->Send(to, kind, std::move(body));
+            }) {
+    socket.emplace(SocketOptions(settings, incarnation),
+                   [this](const peer::PeerFrame& it) { OnFrame(it); });
+    AddControlVms(settings.control_vms);
+    log.emplace(LogOptions(settings),
+                MakeStateMachine(
+                    state, [](const auto& /*catalog*/) {},
+                    [this](const StoredRoutes& it) { OnStoredRoutes(it); }),
+                [this](const NodeId& to, std::string body) {
+                  socket->Send(to, peer::FrameKind::kConsensus,
+                               std::move(body));
+                });
+    client.emplace(
+        ControlClientOptions{settings.node, {settings.node}}, &*log,
+        [this](const NodeId& to, const proto::ForwardRequest& it) {
+          socket->Send(to, peer::FrameKind::kForwardRequest,
+                       it.SerializeAsString());
+        },
+        [this](const NodeId& to, const proto::ForwardReply& it) {
+          socket->Send(to, peer::FrameKind::kForwardReply,
+                       it.SerializeAsString());
+        },
+        [this](const proto::ForwardRequest& /*call*/) { return ReadRoutes(); });
+    {
+      std::lock_guard lock(frame_mutex);
+      started = true;
+    }
+    workers.emplace(kWorkers, kMaxWaitingCalls);
+    server.emplace(
+        std::vector<transport::IoThread*>{&io}, settings.endpoint, CallLimits(),
+        [this](size_t /*thread*/, std::shared_ptr<transport::Exchange> it) {
+          Handle(std::move(it));
+        });
+    upkeep = std::thread([this] { RunUpkeep(); });
+  }
+
+  ~Impl() {
+    {
+      std::lock_guard lock(mutex);
+      stopping = true;
+    }
+    changed.notify_all();
+    upkeep.join();
+    io.Stop();
+    workers.reset();
+    {
+      // The log sends through the socket, so it ends first; frames that come
+      // meanwhile are dropped.
+      std::lock_guard lock(frame_mutex);
+      started = false;
+    }
+    log.reset();
+    socket.reset();
+  }
+
+  void AddControlVms(const std::vector<NodeId>& nodes) {
+    for (const NodeId& it : nodes) {
+      if (peers.AddVm(it)) {
+        socket->AddPeer({it, it.value, settings.peer_port});
+      }
+    }
+  }
+
+  // Calls of backend servers and operators.
+
+  void Handle(std::shared_ptr<transport::Exchange> exchange) {
+    const ControlCall call = dialect.read_call(exchange->request());
+    if (const auto* announce = std::get_if<AnnounceCall>(&call)) {
+      const SteadyTime now = BootTime();
+      registry.Announce(announce->record, peers.Vms(), now);
+      exchange->Respond(dialect.announced(NextEndpoint(announce->record, now)));
+    } else if (const auto* withdraw = std::get_if<WithdrawCall>(&call)) {
+      registry.Withdraw(*withdraw, peers.Vms(), BootTime());
+      exchange->Respond(dialect.accepted());
+    } else if (const auto* put = std::get_if<PutRoutesCall>(&call)) {
+      RunCall(std::move(exchange), [this, put = *put] { return Put(put); });
+    } else if (std::holds_alternative<ReadRoutesCall>(call)) {
+      RunCall(std::move(exchange), [this] { return Read(); });
+    } else if (const auto* malformed = std::get_if<MalformedCall>(&call)) {
+      telemetry::LogEvent(LogLevel::kWarning, "call_malformed",
+                          {{"error", malformed->error}});
+      exchange->Respond(dialect.invalid(malformed->error));
+    } else {
+      exchange->Respond(dialect.unknown());
+    }
+  }
+
+  // Servers should announce themselves within their failure domain, which
+  // saves traffic between domains.
+  std::optional<transport::Endpoint> NextEndpoint(
+      const directory::ServerRecord& record,
+      SteadyTime now) const {
+    const NodeId vm = peers.VmIn(record.failure_domain, now);
+    if (vm.empty() || vm == settings.node) {
+      return std::nullopt;
+    }
+    return transport::Endpoint{vm.value, settings.endpoint.port};
+  }
+
+  // Runs `call` on a thread that may wait, and answers on the I/O thread.
+  void RunCall(std::shared_ptr<transport::Exchange> exchange,
+               std::function<transport::Response()> call) {
+    auto task = [this, exchange, call = std::move(call)]() mutable {
+      auto response = std::make_shared<transport::Response>(call());
+      io.Post([exchange = std::move(exchange), response] {
+        exchange->Respond(std::move(*response));
+      });
+    };
+    if (!workers->Post(std::move(task))) {
+      telemetry::LogEvent(LogLevel::kWarning, "call_refused",
+                          {{"reason", "too_many_calls"}});
+      exchange->Respond(dialect.unclear());
+    }
+  }
+
+  transport::Response Put(const PutRoutesCall& call) {
+    std::string problem;
+    try {
+      const auto problems =
+          routes::ValidateRoutes(dialect.read_routes(call.text));
+      if (!problems.empty()) {
+        problem = "route '" + problems.front().route +
+                  "': " + problems.front().detail;
+      }
+    } catch (const routes::RouteError& e) {
+      problem = e.what();
+    }
+    if (!problem.empty()) {
+      telemetry::LogEvent(
+          LogLevel::kWarning, "routes_refused",
+          {{"version", std::to_string(call.version)}, {"error", problem}});
+      return dialect.invalid(problem);
+    }
+    proto::ForwardRequest request;
+    auto& document = *request.mutable_put_routes()->mutable_document();
+    document.set_version(call.version);
+    document.set_compressed_text(routes::CompressText(call.text));
+    const CallResult result = client->Call(std::move(request), kCallTimeout);
+    const bool stored =
+        result.status == CallStatus::kDone && result.reply.has_put_routes();
+    telemetry::LogEvent(
+        stored ? LogLevel::kInfo : LogLevel::kWarning,
+        stored ? "routes_stored" : "routes_unclear",
+        {{"version", std::to_string(call.version)},
+         {"newest", std::to_string(result.reply.put_routes().version())},
+         {"leader", log->Status().leader.value}});
+    return stored ? dialect.accepted() : dialect.unclear();
+  }
+
+  transport::Response Read() {
+    proto::ForwardRequest request;
+    request.mutable_read_routes();
+    const CallResult result = client->Call(std::move(request), kCallTimeout);
+    if (result.status != CallStatus::kDone || !result.reply.has_routes() ||
+        result.reply.routes().version() == 0) {
+      telemetry::LogEvent(LogLevel::kWarning, "routes_read_unclear",
+                          {{"leader", log->Status().leader.value}});
+      return dialect.unclear();
+    }
+    return dialect.routes(
+        routes::DecompressText(result.reply.routes().compressed_text()));
+  }
+
+  // The replicated log.
+
+  // On the log's thread, which owns `state`.
+  std::string ReadRoutes() const {
+    proto::ForwardReply reply;
+    reply.mutable_routes()->set_version(state.routes.version);
+    reply.mutable_routes()->set_compressed_text(state.routes.compressed_text);
+    return reply.SerializeAsString();
+  }
+
+  // On the log's thread.
+  void OnStoredRoutes(const StoredRoutes& stored) {
+    std::lock_guard lock(mutex);
+    if (stored.version > routes.version) {
+      routes = stored;
+    }
+  }
+
+  // Frames of other nodes, on the peer thread.
+
+  void OnFrame(const peer::PeerFrame& frame) {
+    std::lock_guard lock(frame_mutex);
+    if (!started) {
+      return;
+    }
+    const SteadyTime now = BootTime();
+    switch (frame.kind) {
+      case peer::FrameKind::kConsensus:
+        log->OnMessage(frame.body);
+        break;
+      case peer::FrameKind::kForwardRequest:
+        client->OnRequestFrame(frame.sender, frame.body);
+        break;
+      case peer::FrameKind::kForwardReply:
+        client->OnReplyFrame(frame.body);
+        break;
+      case peer::FrameKind::kDirectoryDelta:
+      case peer::FrameKind::kDirectoryDigest:
+      case peer::FrameKind::kDirectoryPull:
+        registry.OnFrame(frame, now);
+        break;
+      case peer::FrameKind::kControlHello:
+        OnHello(frame, now);
+        break;
+      case peer::FrameKind::kEntryPoll:
+        OnEntryPoll(frame, now);
+        break;
+      default:
+        break;
+    }
+  }
+
+  void OnHello(const peer::PeerFrame& frame, SteadyTime now) {
+    const auto hello = proto::Parse<proto::ControlHello>(frame.body);
+    ControlPeer peer;
+    peer.domain = {hello.failure_domain()};
+    peer.heard = {hello.storage_id(), now};
+    for (const proto::EntryNodes& it : hello.entry_nodes()) {
+      for (const std::string& node : it.nodes()) {
+        peer.entry_nodes[{node}] = {it.failure_domain()};
+      }
+    }
+    AddControlVms({frame.sender});
+    peers.OnHello(frame.sender, std::move(peer));
+    std::vector<NodeId> others;
+    for (const std::string& it : hello.control_vms()) {
+      others.push_back({it});
+    }
+    AddControlVms(others);
+    registry.OnSentCount(frame, hello.directory_count());
+  }
+
+  void OnEntryPoll(const peer::PeerFrame& frame, SteadyTime now) {
+    const auto poll = proto::Parse<proto::EntryPoll>(frame.body);
+    if (peers.OnEntryPoll(frame.sender, {poll.failure_domain()}, now)) {
+      socket->AddPeer({frame.sender, frame.sender.value, settings.peer_port});
+    }
+    proto::EntryPollReply reply;
+    reply.set_failure_domain(settings.failure_domain.value);
+    const LogStatus status = log->Status();
+    reply.set_current(status.contact_at &&
+                      now - *status.contact_at < kContactTime);
+    registry.AnswerPoll(poll, reply);
+    for (const NodeId& it : peers.Vms()) {
+      reply.add_control_vms(it.value);
+    }
+    for (const auto& [domain, nodes] : peers.AllEntryNodes()) {
+      auto& message = *reply.add_entry_nodes();
+      message.set_failure_domain(domain.value);
+      for (const NodeId& it : nodes) {
+        message.add_nodes(it.value);
+      }
+    }
+    {
+      std::lock_guard lock(mutex);
+      if (routes.version > poll.routes_version()) {
+        reply.mutable_routes()->set_version(routes.version);
+        reply.mutable_routes()->set_compressed_text(routes.compressed_text);
+      }
+    }
+    socket->Send(frame.sender, peer::FrameKind::kEntryPollReply,
+                 reply.SerializeAsString());
+  }
+
+  // Upkeep.
+
+  void RunUpkeep() {
+    SteadyTime next_hello;
+    std::unique_lock lock(mutex);
+    while (!stopping) {
+      lock.unlock();
+      const SteadyTime now = BootTime();
+      if (now >= next_hello) {
+        next_hello = now + kHelloInterval;
+        SendHellos(now);
+      }
+      RepairMembership(now);
+      lock.lock();
+      changed.wait_for(lock, kRepairInterval, [this] { return stopping; });
+    }
+  }
+
+  void SendHellos(SteadyTime now) {
+    peers.ForgetEntryNodes(now);
+    const std::vector<NodeId> vms = peers.Vms();
+    registry.Exchange(vms, now);
+    proto::ControlHello hello;
+    hello.set_failure_domain(settings.failure_domain.value);
+    hello.set_storage_id(log->storage_id());
+    std::map<FailureDomain, proto::EntryNodes*> by_domain;
+    for (const auto& [node, domain] : peers.OwnEntryNodes()) {
+      proto::EntryNodes*& nodes = by_domain[domain];
+      if (nodes == nullptr) {
+        nodes = hello.add_entry_nodes();
+        nodes->set_failure_domain(domain.value);
+      }
+      nodes->add_nodes(node.value);
+    }
+    for (const NodeId& it : vms) {
+      hello.add_control_vms(it.value);
+    }
+    for (const NodeId& it : vms) {
+      hello.set_directory_count(registry.SentCount(it));
+      socket->Send(it, peer::FrameKind::kControlHello,
+                   hello.SerializeAsString());
+    }
+  }
+
+  void RepairMembership(SteadyTime now) {
+    const LogStatus status = log->Status();
+    if (status.leader != settings.node || repair_pending) {
+      return;
+    }
+    const auto change =
+        NextRepair(settings.node, status.membership, peers.Heard(),
+                   RepairPolicyOf(settings), now);
+    if (!change) {
+      return;
+    }
+    telemetry::LogEvent(
+        LogLevel::kInfo, "membership_repair",
+        {{"vm", change->node.value},
+         {"action",
+          change->action == consensus::MembershipAction::kRemove    ? "remove"
+          : change->action == consensus::MembershipAction::kPromote ? "promote"
+                                                                    : "add"},
+         {"storage_id", change->storage_id}});
+    repair_pending = true;
+    log->ChangeMembership(*change, [this](const SubmitResult& /*result*/) {
+      repair_pending = false;
+    });
+  }
+
+  const ControlSettings settings;
+  const ControlDialect& dialect;
+  const uint64_t incarnation;
+
+  std::mutex mutex;
+  // Guarded by `mutex`.
+  StoredRoutes routes;
+  bool stopping = false;
+  std::condition_variable changed;
+
+  // Used on the log's thread only.
+  ControlState state;
+  // Held while a frame is handled.
+  std::mutex frame_mutex;
+  // Guarded by `frame_mutex`. Frames are handled while all parts are there.
+  bool started = false;
+  std::atomic<bool> repair_pending = false;
+
+  transport::IoThread io;
+  ControlPeers peers;
+  std::optional<peer::PeerSocket> socket;
+  Registry registry;
+  std::optional<ReplicatedLog> log;
+  std::optional<ControlClient> client;
+  std::optional<WorkerPool> workers;
+  std::optional<transport::WebServer> server;
+  std::thread upkeep;
+};
+
+ControlNode::ControlNode(const ControlSettings& settings,
+                         const ControlDialect& dialect)
+    : impl_(std::make_unique<Impl>(settings, dialect)) {}
+
+ControlNode::~ControlNode() = default;
+
+void ControlNode::AddControlVms(const std::vector<NodeId>& nodes) {
+  impl_->AddControlVms(nodes);
+}
+
+void ControlNode::Drain() {
+  impl_->log->TransferLeadership();
+  impl_->server->StartDraining();
+  impl_->server->StopAccepting();
+  const SteadyTime end = BootTime() + kStopTime;
+  std::mutex wait_mutex;
+  std::condition_variable wait;
+  std::unique_lock lock(wait_mutex);
+  while (impl_->server->OpenRequests() > 0 && BootTime() < end) {
+    wait.wait_for(lock, kStopCheck, [] { return false; });
+  }
+}
+
+}  // namespace gooseberryrock::control
--- /dev/null
+++ b/libs/control/src/registry.cc
@@ -0,0 +1,174 @@
+// The backend servers that a control VM knows.
+
+#include "registry.h"
+
+#include <set>
+#include <utility>
+
+#include "gooseberryrock/directory/merge_record.h"
+#include "gooseberryrock/peer/frame.h"
+#include "gooseberryrock/proto/binary_codec.h"
+#include "gooseberryrock/proto/convert_directory.h"
+#include "gooseberryrock/telemetry/log_event.h"
+#include "peer.pb.h"
+
+namespace gooseberryrock::control {
+
+namespace {
+
+// Stands for a server that withdraws before this VM has heard of it. The other
+// nodes may know it.
+directory::ServerRecord UnknownServer() {
+  directory::ServerRecord record;
+  record.incarnation = 1;
+  record.service = {"unknown"};
+  record.failure_domain = {"unknown"};
+  record.host = "0.0.0.0";
+  record.port = 1;
+  return record;
+}
+
+}  // namespace
+
+Registry::Registry(NodeId self, uint64_t incarnation, FrameSender send)
+    : self_(std::move(self)),
+      incarnation_(incarnation),
+      send_(std::move(send)) {}
+
+void Registry::Announce(const directory::ServerRecord& record,
+                        const std::vector<NodeId>& peers,
+                        SteadyTime now) {
+  std::lock_guard lock(mutex_);
+  if (!directory::AcceptAnnouncement(directory_, record, self_, now)) {
+    return;
+  }
+  telemetry::LogEvent(
+      telemetry::LogLevel::kInfo, "server_announced",
+      {{"server", record.id.value},
+       {"service", record.service.value},
+       {"state", std::string(directory::ServerStateName(record.state))},
+       {"incarnation", std::to_string(record.incarnation)}});
+  SendDeltas(peers);
+}
+
+void Registry::Withdraw(const WithdrawCall& call,
+                        const std::vector<NodeId>& peers,
+                        SteadyTime now) {
+  std::lock_guard lock(mutex_);
+  directory::ServerRecord record;
+  auto it = directory_.entries.find(call.server);
+  if (it != directory_.entries.end()) {
+    record = it->second.record;
+  } else {
+    record = UnknownServer();
+  }
+  if (call.incarnation != 0) {
+    if (call.incarnation < record.incarnation) {
+      return;
+    }
+    record.incarnation = call.incarnation;
+  }
+  record.id = call.server;
+  record.state = directory::ServerState::kGone;
+  if (!directory::AcceptAnnouncement(directory_, record, self_, now)) {
+    return;
+  }
+  telemetry::LogEvent(telemetry::LogLevel::kInfo, "server_withdrawn",
+                      {{"server", record.id.value},
+                       {"service", record.service.value},
+                       {"incarnation", std::to_string(record.incarnation)}});
+  SendDeltas(peers);
+}
+
+void Registry::OnFrame(const peer::PeerFrame& frame, SteadyTime now) {
+  std::lock_guard lock(mutex_);
+  const NodeId& from = frame.sender;
+  const auto send_pull = [&](const directory::DirectoryPull& pull) {
+    send_(from, peer::FrameKind::kDirectoryPull,
+          proto::ToMessage(pull).SerializeAsString());
+  };
+  if (frame.kind == peer::FrameKind::kDirectoryDelta) {
+    const auto delta =
+        proto::FromMessage(proto::Parse<proto::DirectoryDelta>(frame.body));
+    directory::MergeDelta(directory_, delta, from, now);
+    if (auto pull = directory::OnChangeSpan(exchange_, from, frame.incarnation,
+                                            delta.from, delta.to)) {
+      send_pull(*pull);
+    }
+  } else if (frame.kind == peer::FrameKind::kDirectoryDigest) {
+    const auto answer = directory::OnDigest(
+        directory_,
+        proto::FromMessage(proto::Parse<proto::DirectoryDigest>(frame.body)));
+    if (answer.digest) {
+      send_(from, peer::FrameKind::kDirectoryDigest,
+            proto::ToMessage(*answer.digest).SerializeAsString());
+    }
+    if (answer.pull) {
+      send_pull(*answer.pull);
+    }
+  } else if (frame.kind == peer::FrameKind::kDirectoryPull) {
+    const auto answer = directory::OnPull(
+        directory_, exchange_, from,
+        proto::FromMessage(proto::Parse<proto::DirectoryPull>(frame.body)));
+    for (const auto& delta : answer.deltas) {
+      send_(from, peer::FrameKind::kDirectoryDelta,
+            proto::ToMessage(delta).SerializeAsString());
+    }
+    if (answer.pull) {
+      send_pull(*answer.pull);
+    }
+  }
+}
+
+void Registry::OnSentCount(const peer::PeerFrame& frame, uint64_t count) {
+  std::lock_guard lock(mutex_);
+  if (auto pull = directory::OnChangeSpan(exchange_, frame.sender,
+                                          frame.incarnation, count, count)) {
+    send_(frame.sender, peer::FrameKind::kDirectoryPull,
+          proto::ToMessage(*pull).SerializeAsString());
+  }
+}
+
+uint64_t Registry::SentCount(const NodeId& peer) const {
+  std::lock_guard lock(mutex_);
+  return directory::SentCount(exchange_, peer);
+}
+
+void Registry::SendDeltas(const std::vector<NodeId>& peers) {
+  for (const NodeId& it : peers) {
+    while (auto delta = directory::TakeDelta(directory_, exchange_,
+                                             {it, /*relay=*/false})) {
+      send_(it, peer::FrameKind::kDirectoryDelta,
+            proto::ToMessage(*delta).SerializeAsString());
+    }
+  }
+}
+
+void Registry::Exchange(const std::vector<NodeId>& peers, SteadyTime now) {
+  std::lock_guard lock(mutex_);
+  directory::RemoveGone(directory_, now);
+  SendDeltas(peers);
+  if (now < next_digest_) {
+    return;
+  }
+  next_digest_ = now + directory::kDigestInterval;
+  const std::string body =
+      proto::ToMessage(directory::MakeRootDigest(directory_))
+          .SerializeAsString();
+  for (size_t i : directory::TakeDigestPeers(exchange_, peers.size())) {
+    send_(peers[i], peer::FrameKind::kDirectoryDigest, body);
+  }
+}
+
+void Registry::AnswerPoll(const proto::EntryPoll& poll,
+                          proto::EntryPollReply& reply) const {
+  std::lock_guard lock(mutex_);
+  const uint64_t since =
+      poll.directory_incarnation() == incarnation_ ? poll.directory_count() : 0;
+  for (const auto& record : directory::ChangesSince(directory_, since)) {
+    *reply.add_records() = proto::ToMessage(record);
+  }
+  reply.set_directory_count(directory_.change_count);
+}
+
+}  // namespace gooseberryrock::control
--- /dev/null
+++ b/libs/control/src/registry.h
@@ -0,0 +1,77 @@
+// The backend servers that a control VM knows from their announcements, kept
+// equal on all control VMs.
+
+#ifndef GOOSEBERRYROCK_LIBS_CONTROL_SRC_REGISTRY_H_
+#define GOOSEBERRYROCK_LIBS_CONTROL_SRC_REGISTRY_H_
+
+#include <functional>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "gooseberryrock/base/ids.h"
+#include "gooseberryrock/base/time.h"
+#include "gooseberryrock/control/control_call.h"
+#include "gooseberryrock/directory/directory.h"
+#include "gooseberryrock/directory/directory_exchange.h"
+#include "gooseberryrock/peer/frame_kind.h"
+
+namespace gooseberryrock::peer {
+struct PeerFrame;
+}  // namespace gooseberryrock::peer
+
+namespace gooseberryrock::proto {
+class EntryPoll;
+class EntryPollReply;
+}  // namespace gooseberryrock::proto
+
+namespace gooseberryrock::control {
+
+// All functions may be called on any thread.
+class Registry {
+ public:
+  using FrameSender =
+      std::function<void(const NodeId&, peer::FrameKind, std::string body)>;
+
+  // `incarnation` is that of this process; change counts begin anew with it.
+  Registry(NodeId self, uint64_t incarnation, FrameSender send);
+
+  // Take over what a server says, and tell `peers` at once when it is news.
+  void Announce(const directory::ServerRecord& record,
+                const std::vector<NodeId>& peers,
+                SteadyTime now);
+  void Withdraw(const WithdrawCall& call,
+                const std::vector<NodeId>& peers,
+                SteadyTime now);
+
+  // A delta, digest or pull of another control VM. Throws
+  // MalformedMessageError.
+  void OnFrame(const peer::PeerFrame& frame, SteadyTime now);
+  // The change count in a hello of another control VM.
+  void OnSentCount(const peer::PeerFrame& frame, uint64_t count);
+  uint64_t SentCount(const NodeId& peer) const;
+
+  // Sends what is due to the other control VMs.
+  void Exchange(const std::vector<NodeId>& peers, SteadyTime now);
+
+  // Adds the records that changed since the poll.
+  void AnswerPoll(const proto::EntryPoll& poll,
+                  proto::EntryPollReply& reply) const;
+
+ private:
+  void SendDeltas(const std::vector<NodeId>& peers);
+
+  const NodeId self_;
+  const uint64_t incarnation_;
+  const FrameSender send_;
+
+  mutable std::mutex mutex_;
+  // Guarded by `mutex_`.
+  directory::Directory directory_;
+  directory::DirectoryExchange exchange_;
+  SteadyTime next_digest_;
+};
+
+}  // namespace gooseberryrock::control
+
+#endif  // GOOSEBERRYROCK_LIBS_CONTROL_SRC_REGISTRY_H_
--- a/libs/node/src/replicated_log.cc
+++ b/libs/control/src/replicated_log.cc
@@ -1,6 +1,6 @@
 // The replicated log on a control VM.
 
-#include "gooseberryrock/node/replicated_log.h"
+#include "gooseberryrock/control/replicated_log.h"
 
 #include <condition_variable>
 #include <deque>
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "consensus.pb.h"
+#include "gooseberryrock/base/clock.h"
 #include "gooseberryrock/proto/binary_codec.h"
 #include "gooseberryrock/proto/convert_consensus.h"
 #include "gooseberryrock/proto/malformed_message_error.h"
@@ -20,7 +21,7 @@
 #include "gooseberryrock/storage/storage_error.h"
 #include "gooseberryrock/telemetry/log_event.h"
 
-namespace gooseberryrock::node {
+namespace gooseberryrock::control {
 
 namespace {
 
@@ -53,8 +54,12 @@
                            MessageEvent,
                            TransferEvent>;
 
+// Pause before a data folder that failed is opened again: a disk that was full
+// or hung works again without an operator.
+constexpr Duration kReopenInterval = std::chrono::milliseconds(500);
+
 SteadyTime Now() {
-  return std::chrono::steady_clock::now();
+  return BootTime();
 }
 
 std::string RejectReasonName(consensus::RejectReason reason) {
@@ -114,9 +119,8 @@
                                                options.data_folder,
                                                options.cluster,
                                                options.self,
-                                               random)),
-        store(files, options.data_folder) {
-    Start();
+                                               random)) {
+    Open();
     thread = std::thread([this] { Run(); });
   }
 
@@ -129,12 +133,15 @@
     thread.join();
   }
 
-  void Start() {
+  // Reads the data folder. Throws StorageError.
+  void Open() {
+    store.emplace(storage::PosixFileOperations(), options.data_folder);
     const auto initial =
         options.initial_members.empty()
             ? consensus::Membership()
             : consensus::InitialMembership(options.initial_members);
-    consensus::StoredState stored = store.Load(initial);
+    consensus::StoredState stored = store->Load(initial);
+    machine.reset();
     if (stored.snapshot.last.index > 0) {
       machine.restore(stored.snapshot.data);
     }
@@ -175,9 +182,9 @@
     std::unique_lock lock(mutex);
     const auto wanted = [this] { return stopping || !events.empty(); };
     if (storage_failed) {
-      changed.wait(lock, wanted);
+      changed.wait_for(lock, kReopenInterval, wanted);
     } else {
-      changed.wait_until(lock, consensus::NextTick(state), wanted);
+      changed.wait_for(lock, consensus::NextTick(state) - Now(), wanted);
     }
     if (stopping) {
       return std::nullopt;
@@ -190,6 +197,13 @@
       for (Event& event : batch) {
         Refuse(event);
       }
+      if (Now() >= reopen_at) {
+        reopen_at = Now() + kReopenInterval;
+        Open();
+        storage_failed = false;
+        telemetry::LogEvent(telemetry::LogLevel::kInfo, "storage_regained",
+                            {{"node", options.self.value}});
+      }
       return;
     }
     std::vector<consensus::Proposal> proposals;
@@ -268,7 +282,7 @@
   void CarryOut(consensus::Effects effects) {
     while (true) {
       Send(effects.send_at_once);
-      storage::Persist(store, effects, options.config);
+      storage::Persist(*store, effects, options.config);
       Send(effects.send_after_sync);
       ApplyCommitted(effects);
       Report(effects);
@@ -350,12 +364,17 @@
         telemetry::LogLevel::kError, "storage_failed",
         {{"node", options.self.value}, {"error", error.what()}});
     storage_failed = true;
+    reopen_at = Now() + kReopenInterval;
     AnswerAllOpen();
   }
 
   void PublishStatus() {
     LogStatus now;
     now.leader = storage_failed ? NodeId() : state.leader;
+    if (!storage_failed) {
+      now.contact_at =
+          consensus::HasLease(state, Now()) ? Now() : state.leader_heard;
+    }
     now.term = state.hard_state.term;
     now.commit_index = state.commit_index;
     now.membership = state.membership;
@@ -376,11 +395,12 @@
   std::mt19937_64 random;
   const storage::FileOperations files;
   const storage::Identity identity;
-  storage::LogStore store;
+  std::optional<storage::LogStore> store;
   consensus::ConsensusState state;
   std::map<ProposalId, DoneHandler> open;
   ProposalId next_proposal = 1;
   bool storage_failed = false;
+  SteadyTime reopen_at;
 
   mutable std::mutex mutex;
   // Guarded by `mutex`.
@@ -435,4 +455,4 @@
                           [&] { return impl_->status.leader != self; });
 }
 
-}  // namespace gooseberryrock::node
+}  // namespace gooseberryrock::control
--- /dev/null
+++ b/libs/control/src/worker_pool.h
@@ -0,0 +1,40 @@
+// Threads for calls that wait for the replicated log.
+
+#ifndef GOOSEBERRYROCK_LIBS_CONTROL_SRC_WORKER_POOL_H_
+#define GOOSEBERRYROCK_LIBS_CONTROL_SRC_WORKER_POOL_H_
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace gooseberryrock::control {
+
+class WorkerPool {
+ public:
+  WorkerPool(unsigned threads, size_t max_queued);
+  WorkerPool(const WorkerPool&) = delete;
+  WorkerPool& operator=(const WorkerPool&) = delete;
+  // Drops the tasks that have not started.
+  ~WorkerPool();
+
+  // Returns false when too many tasks wait.
+  bool Post(std::function<void()> task);
+
+ private:
+  void Run();
+
+  const size_t max_queued_;
+  std::mutex mutex_;
+  // Guarded by `mutex_`.
+  std::deque<std::function<void()>> tasks_;
+  bool stopping_ = false;
+  std::condition_variable changed_;
+  std::vector<std::thread> threads_;
+};
+
+}  // namespace gooseberryrock::control
+
+#endif  // GOOSEBERRYROCK_LIBS_CONTROL_SRC_WORKER_POOL_H_
--- a/libs/node/include/gooseberryrock/node/at_most_once.h
+++ b/libs/node/include/gooseberryrock/node/at_most_once.h
@@ -23,9 +23,12 @@
 struct Metrics;
 }  // namespace gooseberryrock::telemetry
 
+namespace gooseberryrock::control {
+class ControlClient;
+}  // namespace gooseberryrock::control
+
 namespace gooseberryrock::node {
 
-class ControlClient;
 class QueryEngine;
 
 // The answer to a non-idempotent request that is refused before its claim was
@@ -39,7 +42,7 @@
   // `incarnation` rises with each start of the node.
   AtMostOnceExecutor(NodeId self,
                      uint64_t incarnation,
-                     ControlClient& control,
+                     control::ControlClient& control,
                      QueryEngine& engine,
                      telemetry::Metrics& metrics);
 
@@ -58,7 +61,7 @@
 
   const NodeId self_;
   const uint64_t incarnation_;
-  ControlClient& control_;
+  control::ControlClient& control_;
   QueryEngine& engine_;
   telemetry::Metrics& metrics_;
   // Tells the claims of this incarnation of the node apart.
--- a/libs/node/include/gooseberryrock/node/node_gauges.h
+++ b/libs/node/include/gooseberryrock/node/node_gauges.h
@@ -14,12 +14,15 @@
 struct Metrics;
 }  // namespace gooseberryrock::telemetry
 
+namespace gooseberryrock::control {
+struct LogStatus;
+}  // namespace gooseberryrock::control
+
 namespace gooseberryrock::node {
 
 class CatalogKeeper;
 class ClusterView;
 class DirectoryKeeper;
-struct LogStatus;
 
 void SetCatalogGauges(telemetry::Metrics& metrics,
                       const CatalogKeeper& catalog,
@@ -31,7 +34,7 @@
                       SteadyTime now);
 
 void SetLogGauges(telemetry::Metrics& metrics,
-                  const LogStatus& status,
+                  const control::LogStatus& status,
                   const NodeId& self);
 
 // Adds what the counters of the peer socket rose since `before`.
--- a/libs/node/include/gooseberryrock/node/operator_api.h
+++ b/libs/node/include/gooseberryrock/node/operator_api.h
@@ -21,13 +21,16 @@
 struct Metrics;
 }  // namespace gooseberryrock::telemetry
 
+namespace gooseberryrock::control {
+class ControlClient;
+class ReplicatedLog;
+}  // namespace gooseberryrock::control
+
 namespace gooseberryrock::node {
 
 class CatalogKeeper;
 class ClusterView;
-class ControlClient;
 class DirectoryKeeper;
-class ReplicatedLog;
 
 inline constexpr std::string_view kOperatorPathPrefix = "/v1/operator/";
 
@@ -35,12 +38,12 @@
   NodeId self;
   FailureDomain failure_domain;
   std::string token;
-  ControlClient* control = nullptr;
+  control::ControlClient* control = nullptr;
   CatalogKeeper* catalog = nullptr;
   DirectoryKeeper* directory = nullptr;
   ClusterView* cluster = nullptr;
   // Null on a node that is no control VM.
-  ReplicatedLog* log = nullptr;
+  control::ReplicatedLog* log = nullptr;
   telemetry::Metrics* metrics = nullptr;
 };
 
--- a/libs/node/src/at_most_once.cc
+++ b/libs/node/src/at_most_once.cc
@@ -7,7 +7,7 @@
 #include <utility>
 
 #include "gooseberryrock/base/hash.h"
-#include "gooseberryrock/node/control_client.h"
+#include "gooseberryrock/control/control_client.h"
 #include "gooseberryrock/node/query_engine.h"
 #include "gooseberryrock/proto/convert_answer.h"
 #include "gooseberryrock/proto/convert_claims.h"
@@ -69,7 +69,7 @@
 
 AtMostOnceExecutor::AtMostOnceExecutor(NodeId self,
                                        uint64_t incarnation,
-                                       ControlClient& control,
+                                       control::ControlClient& control,
                                        QueryEngine& engine,
                                        telemetry::Metrics& metrics)
     : self_(std::move(self)),
@@ -84,8 +84,9 @@
   *call.mutable_claim() = proto::ToMessage(
       claims::ClaimEntry{request.id, ContentHash(request), holder, {}});
   const Duration left = request.deadline - Now();
-  const CallResult result = control_.Call(std::move(call), left / kClaimShare);
-  if (result.status != CallStatus::kDone) {
+  const control::CallResult result =
+      control_.Call(std::move(call), left / kClaimShare);
+  if (result.status != control::CallStatus::kDone) {
     telemetry::Increment(metrics_, telemetry::Counter::kClaimsNotRun);
     return RefuseUnclaimed(request, query::AnswerReason::kNoQuorum);
   }
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -13,13 +13,14 @@
 #include <utility>
 #include <vector>
 
+#include "gooseberryrock/control/control_client.h"
+#include "gooseberryrock/control/control_machine.h"
+#include "gooseberryrock/control/replicated_log.h"
 #include "gooseberryrock/http/http_request.h"
 #include "gooseberryrock/http/http_server.h"
 #include "gooseberryrock/node/at_most_once.h"
 #include "gooseberryrock/node/catalog_keeper.h"
 #include "gooseberryrock/node/cluster_view.h"
-#include "gooseberryrock/node/control_client.h"
-#include "gooseberryrock/node/control_machine.h"
 #include "gooseberryrock/node/crash_guard.h"
 #include "gooseberryrock/node/directory_keeper.h"
 #include "gooseberryrock/node/drain_gate.h"
@@ -29,7 +30,6 @@
 #include "gooseberryrock/node/operator_api.h"
 #include "gooseberryrock/node/peer_loop.h"
 #include "gooseberryrock/node/query_engine.h"
-#include "gooseberryrock/node/replicated_log.h"
 #include "gooseberryrock/node/service_views.h"
 #include "gooseberryrock/peer/frame.h"
 #include "gooseberryrock/peer/peer_socket.h"
@@ -121,8 +121,9 @@
   return !settings.data_folder.empty();
 }
 
-ControlClientOptions ClientOptions(const settings::Settings& settings) {
-  ControlClientOptions options{settings.node, ControlPeers(settings)};
+control::ControlClientOptions ClientOptions(
+    const settings::Settings& settings) {
+  control::ControlClientOptions options{settings.node, ControlPeers(settings)};
   if (IsControl(settings)) {
     options.control_nodes.insert(options.control_nodes.begin(), settings.node);
   }
@@ -139,8 +140,8 @@
   }
 }
 
-ReplicatedLogOptions LogOptions(const settings::Settings& settings) {
-  ReplicatedLogOptions options;
+control::ReplicatedLogOptions LogOptions(const settings::Settings& settings) {
+  control::ReplicatedLogOptions options;
   options.self = settings.node;
   options.cluster = settings.cluster;
   options.data_folder = settings.data_folder;
@@ -197,13 +198,14 @@
         catalog([this](const auto& it) { PutInForce(it); }) {
     if (IsControl(settings)) {
       MakeDataFolder(settings.data_folder);
-      log.emplace(LogOptions(settings),
-                  MakeStateMachine(control_state,
-                                   [this](const auto& it) { catalog.Put(it); }),
-                  [this](const NodeId& to, std::string body) {
-                    socket.Send(to, peer::FrameKind::kConsensus,
-                                std::move(body));
-                  });
+      log.emplace(
+          LogOptions(settings),
+          control::MakeStateMachine(
+              control_state, [this](const auto& it) { catalog.Put(it); },
+              [](const auto& /*routes*/) {}),
+          [this](const NodeId& to, std::string body) {
+            socket.Send(to, peer::FrameKind::kConsensus, std::move(body));
+          });
     }
     control.emplace(
         ClientOptions(settings), LogOrNull(),
@@ -215,7 +217,9 @@
           socket.Send(to, peer::FrameKind::kForwardReply,
                       it.SerializeAsString());
         },
-        [this] { return ReadCatalog(); });
+        [this](const proto::ForwardRequest& /*call*/) {
+          return ReadCatalog();
+        });
     peer_loop.emplace(LoopParts());
     at_most_once.emplace(settings.node, incarnation, *control, engine, metrics);
     operator_api.emplace(ApiParts());
@@ -253,7 +257,7 @@
         std::chrono::steady_clock::now());
   }
 
-  ReplicatedLog* LogOrNull() { return log ? &*log : nullptr; }
+  control::ReplicatedLog* LogOrNull() { return log ? &*log : nullptr; }
 
   void PutInForce(const catalog::Catalog& it) {
     directory.OnCatalog(it);
@@ -389,10 +393,10 @@
   DirectoryKeeper directory;
   CatalogKeeper catalog;
   // Used on the thread of the replicated log only.
-  ControlState control_state;
+  control::ControlState control_state;
   // Empty on a node without a data folder.
-  std::optional<ReplicatedLog> log;
-  std::optional<ControlClient> control;
+  std::optional<control::ReplicatedLog> log;
+  std::optional<control::ControlClient> control;
   std::optional<PeerLoop> peer_loop;
   std::optional<AtMostOnceExecutor> at_most_once;
   std::optional<OperatorApi> operator_api;
--- a/libs/node/src/node_gauges.cc
+++ b/libs/node/src/node_gauges.cc
@@ -7,11 +7,11 @@
 #include <chrono>
 #include <utility>
 
+#include "gooseberryrock/control/log_status.h"
 #include "gooseberryrock/directory/server_record.h"
 #include "gooseberryrock/node/catalog_keeper.h"
 #include "gooseberryrock/node/cluster_view.h"
 #include "gooseberryrock/node/directory_keeper.h"
-#include "gooseberryrock/node/log_status.h"
 #include "gooseberryrock/peer/peer_stats.h"
 #include "gooseberryrock/telemetry/metrics.h"
 
@@ -59,7 +59,7 @@
 }
 
 void SetLogGauges(telemetry::Metrics& metrics,
-                  const LogStatus& status,
+                  const control::LogStatus& status,
                   const NodeId& self) {
   SetGauge(metrics, Gauge::kIsLeader, status.leader == self ? 1 : 0);
   SetGauge(metrics, Gauge::kHasLeader, status.leader.empty() ? 0 : 1);
--- a/libs/node/src/operator_api.cc
+++ b/libs/node/src/operator_api.cc
@@ -7,14 +7,14 @@
 #include <utility>
 
 #include "gooseberryrock/catalog/command.h"
+#include "gooseberryrock/control/control_client.h"
+#include "gooseberryrock/control/replicated_log.h"
 #include "gooseberryrock/directory/server_record.h"
 #include "gooseberryrock/http/http_request.h"
 #include "gooseberryrock/node/caller_api.h"
 #include "gooseberryrock/node/catalog_keeper.h"
 #include "gooseberryrock/node/cluster_view.h"
-#include "gooseberryrock/node/control_client.h"
 #include "gooseberryrock/node/directory_keeper.h"
-#include "gooseberryrock/node/replicated_log.h"
 #include "gooseberryrock/proto/convert_catalog.h"
 #include "gooseberryrock/proto/json_codec.h"
 #include "gooseberryrock/proto/malformed_message_error.h"
@@ -121,17 +121,18 @@
   }
   proto::ForwardRequest call;
   *call.mutable_command() = request;
-  CallResult result = parts_.control->Call(std::move(call), kCommandTimeout);
-  const bool accepted = result.status == CallStatus::kDone &&
+  control::CallResult result =
+      parts_.control->Call(std::move(call), kCommandTimeout);
+  const bool accepted = result.status == control::CallStatus::kDone &&
                         result.reply.command().status() == proto::ACCEPTED;
   telemetry::Increment(*parts_.metrics,
                        accepted ? telemetry::Counter::kCommandsAccepted
                                 : telemetry::Counter::kCommandsRefused);
-  if (result.status == CallStatus::kDone) {
+  if (result.status == control::CallStatus::kDone) {
     return result.reply.command();
   }
   proto::CommandReply reply;
-  reply.set_status(result.status == CallStatus::kNotRun
+  reply.set_status(result.status == control::CallStatus::kNotRun
                        ? proto::NOT_RUN
                        : proto::OUTCOME_UNKNOWN);
   reply.set_version(parts_.catalog->Version());
@@ -159,8 +160,9 @@
   if (request.current()) {
     proto::ForwardRequest call;
     *call.mutable_read() = request;
-    CallResult result = parts_.control->Call(std::move(call), kReadTimeout);
-    if (result.status == CallStatus::kDone) {
+    control::CallResult result =
+        parts_.control->Call(std::move(call), kReadTimeout);
+    if (result.status == control::CallStatus::kDone) {
       return result.reply.catalog();
     }
   }
@@ -239,7 +241,7 @@
   if (parts_.log == nullptr) {
     return;
   }
-  const LogStatus status = parts_.log->Status();
+  const control::LogStatus status = parts_.log->Status();
   auto& control = *reply.mutable_control();
   control.set_leader(status.leader.value);
   control.set_term(status.term);
@@ -265,12 +267,13 @@
   }
   proto::ForwardRequest call;
   *call.mutable_membership() = request;
-  CallResult result = parts_.control->Call(std::move(call), kCommandTimeout);
-  if (result.status == CallStatus::kDone) {
+  control::CallResult result =
+      parts_.control->Call(std::move(call), kCommandTimeout);
+  if (result.status == control::CallStatus::kDone) {
     return result.reply.membership();
   }
   proto::ChangeMembershipReply reply;
-  reply.set_status(result.status == CallStatus::kNotRun
+  reply.set_status(result.status == control::CallStatus::kNotRun
                        ? proto::NOT_RUN
                        : proto::OUTCOME_UNKNOWN);
   return reply;
