--- /dev/null
+++ b/libs/entry/include/gooseberryrock/entry/server_change.h
@@ -0,0 +1,35 @@
+// A change of a backend server that the I/O shards have to follow.
+
+#ifndef GOOSEBERRYROCK_ENTRY_SERVER_CHANGE_H_
+#define GOOSEBERRYROCK_ENTRY_SERVER_CHANGE_H_
+
+#include <map>
+#include <vector>
+
+#include "gooseberryrock/base/ids.h"
+#include "gooseberryrock/directory/reservation.h"
+#include "gooseberryrock/directory/server_record.h"
+
+namespace gooseberryrock::entry {
+
+struct ServerChange {
+  directory::ServerRecord record;
+  // Takes new work: ready, and the newest server at its address.
+  bool usable = false;
+};
+
+// How the connection limits of the servers are divided among the entry nodes.
+struct ConnectionPlan {
+  directory::Reservation reservation;
+  directory::ReservedPlace place;
+
+  bool operator==(const ConnectionPlan& other) const {
+    return reservation == other.reservation &&
+           place.domain == other.place.domain &&
+           place.position == other.place.position;
+  }
+};
+
+}  // namespace gooseberryrock::entry
+
+#endif  // GOOSEBERRYROCK_ENTRY_SERVER_CHANGE_H_
--- /dev/null
+++ b/libs/entry/src/control_link.cc
@@ -0,0 +1,286 @@
+// Keeps an entry node up to date.
+
+#include "control_link.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "gooseberryrock/base/clock.h"
+#include "gooseberryrock/entry/server_book.h"
+#include "gooseberryrock/peer/frame.h"
+#include "gooseberryrock/peer/peer_socket.h"
+#include "gooseberryrock/proto/binary_codec.h"
+#include "gooseberryrock/proto/convert_directory.h"
+#include "gooseberryrock/proto/malformed_message_error.h"
+#include "gooseberryrock/routes/compressed_text.h"
+#include "gooseberryrock/routes/route_error.h"
+#include "gooseberryrock/telemetry/log_event.h"
+#include "peer.pb.h"
+
+namespace gooseberryrock::entry {
+
+namespace {
+
+using telemetry::LogLevel;
+
+// Changes reach a node within this time and a round trip; a tenth of the 3 s in
+// which a change has to be in force.
+constexpr Duration kPollInterval = std::chrono::milliseconds(250);
+// A control VM that has not answered for this long is no longer relied on: two
+// polls in a row were lost.
+constexpr Duration kSilence = std::chrono::milliseconds(750);
+
+struct ControlVm {
+  FailureDomain domain;
+  std::optional<SteadyTime> answered_at;
+  // It heard from the leader of the replicated log lately.
+  bool current = false;
+  uint64_t incarnation = 0;
+  uint64_t directory_count = 0;
+};
+
+bool IsReliable(const ControlVm& vm, SteadyTime now) {
+  return vm.current && vm.answered_at && now - *vm.answered_at < kSilence;
+}
+
+// The node's id rises with each start: microseconds since 1970.
+uint64_t Incarnation() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+peer::PeerSocketOptions SocketOptions(const EntrySettings& settings) {
+  peer::PeerSocketOptions options;
+  options.cluster = settings.cluster;
+  options.cluster_key = settings.cluster_key;
+  options.self = {settings.node, settings.node.value, settings.peer_port};
+  options.incarnation = Incarnation();
+  return options;
+}
+
+}  // namespace
+
+struct ControlLink::Impl {
+  Impl(const EntrySettings& link_settings,
+       const Dialect& link_dialect,
+       ControlEvents link_events)
+      : settings(link_settings),
+        dialect(link_dialect),
+        events(std::move(link_events)),
+        socket(SocketOptions(settings),
+               [this](const peer::PeerFrame& it) { OnFrame(it); }) {
+    AddControlVms(settings.control_vms);
+    thread = std::thread([this] { Run(); });
+  }
+
+  ~Impl() {
+    {
+      std::lock_guard lock(mutex);
+      stopping = true;
+    }
+    changed.notify_all();
+    thread.join();
+  }
+
+  void AddControlVms(const std::vector<NodeId>& nodes) {
+    std::lock_guard lock(mutex);
+    for (const NodeId& it : nodes) {
+      if (vms.emplace(it, ControlVm{}).second) {
+        socket.AddPeer({it, it.value, settings.peer_port});
+      }
+    }
+  }
+
+  void Run() {
+    std::unique_lock lock(mutex);
+    while (!stopping) {
+      Poll();
+      changed.wait_for(lock, kPollInterval, [this] { return stopping; });
+    }
+  }
+
+  // Asks the control VMs in the order of preference up to the first reliable
+  // one. `mutex` is held.
+  void Poll() {
+    const SteadyTime now = BootTime();
+    std::vector<NodeId> order;
+    for (const auto& [node, vm] : vms) {
+      order.push_back(node);
+    }
+    std::stable_partition(order.begin(), order.end(), [this](const NodeId& it) {
+      return vms[it].domain == settings.failure_domain;
+    });
+    for (const NodeId& node : order) {
+      const ControlVm& vm = vms[node];
+      proto::EntryPoll poll;
+      poll.set_failure_domain(settings.failure_domain.value);
+      poll.set_routes_version(routes_version);
+      poll.set_directory_incarnation(vm.incarnation);
+      poll.set_directory_count(vm.directory_count);
+      socket.Send(node, peer::FrameKind::kEntryPoll, poll.SerializeAsString());
+      if (IsReliable(vm, now)) {
+        NoteSource(node);
+        return;
+      }
+    }
+    NoteSource({});
+  }
+
+  void NoteSource(const NodeId& node) {
+    if (source == node) {
+      return;
+    }
+    source = node;
+    telemetry::LogEvent(node.empty() ? LogLevel::kWarning : LogLevel::kInfo,
+                        node.empty() ? "control_lost" : "control_followed",
+                        {{"control_vm", node.value},
+                         {"routes_version", std::to_string(routes_version)}});
+  }
+
+  void OnFrame(const peer::PeerFrame& frame) {
+    if (frame.kind != peer::FrameKind::kEntryPollReply) {
+      return;
+    }
+    proto::EntryPollReply reply;
+    try {
+      reply = proto::Parse<proto::EntryPollReply>(frame.body);
+      OnReply(frame, reply);
+    } catch (const proto::MalformedMessageError& e) {
+      telemetry::LogEvent(
+          LogLevel::kError, "control_reply_refused",
+          {{"control_vm", frame.sender.value}, {"error", e.what()}});
+    }
+  }
+
+  void OnReply(const peer::PeerFrame& frame,
+               const proto::EntryPollReply& reply) {
+    std::vector<directory::ServerRecord> records;
+    for (const proto::ServerRecord& it : reply.records()) {
+      records.push_back(proto::FromMessage(it));
+    }
+    std::vector<NodeId> others;
+    for (const std::string& it : reply.control_vms()) {
+      others.push_back({it});
+    }
+    AddControlVms(others);
+    if (reply.has_routes()) {
+      OnRoutes(reply.routes());
+    }
+    std::vector<ServerChange> changes;
+    std::optional<ConnectionPlan> plan = PlanOf(reply);
+    {
+      std::lock_guard lock(mutex);
+      ControlVm& vm = vms[frame.sender];
+      vm.domain = {reply.failure_domain()};
+      vm.answered_at = BootTime();
+      vm.current = reply.current();
+      vm.incarnation = frame.incarnation;
+      vm.directory_count = reply.directory_count();
+      changes = MergeRecords(book, records, *vm.answered_at);
+      has_directory = true;
+      if (plan && *plan == last_plan) {
+        plan.reset();
+      } else if (plan) {
+        last_plan = *plan;
+      }
+    }
+    if (plan) {
+      events.on_plan(std::move(*plan));
+    }
+    if (!changes.empty()) {
+      events.on_servers(std::move(changes));
+    }
+  }
+
+  // Nothing when the control VMs do not know this node yet.
+  std::optional<ConnectionPlan> PlanOf(
+      const proto::EntryPollReply& reply) const {
+    ConnectionPlan plan;
+    plan.place.domain = settings.failure_domain;
+    bool found = false;
+    for (const proto::EntryNodes& it : reply.entry_nodes()) {
+      plan.reservation[{it.failure_domain()}] =
+          static_cast<uint32_t>(it.nodes_size());
+      const auto self =
+          std::find(it.nodes().begin(), it.nodes().end(), settings.node.value);
+      if (it.failure_domain() == settings.failure_domain.value &&
+          self != it.nodes().end()) {
+        plan.place.position = static_cast<uint32_t>(self - it.nodes().begin());
+        found = true;
+      }
+    }
+    return found ? std::optional(std::move(plan)) : std::nullopt;
+  }
+
+  void OnRoutes(const proto::RouteDocument& document) {
+    {
+      std::lock_guard lock(mutex);
+      if (document.version() <= routes_version) {
+        return;
+      }
+    }
+    try {
+      auto table = std::make_shared<const routes::RouteTable>(
+          routes::BuildRouteTable(dialect.read_routes(
+              routes::DecompressText(document.compressed_text()))));
+      {
+        std::lock_guard lock(mutex);
+        routes_version = document.version();
+      }
+      telemetry::LogEvent(
+          LogLevel::kInfo, "routes_in_force",
+          {{"version", std::to_string(document.version())},
+           {"routes", std::to_string(table->set.routes.size())}});
+      events.on_routes(std::move(table));
+    } catch (const routes::RouteError& e) {
+      // The control VMs check before they accept, so this is another release
+      // of the program with stricter checks. The routes in force stay.
+      telemetry::LogEvent(LogLevel::kError, "routes_refused",
+                          {{"version", std::to_string(document.version())},
+                           {"error", e.what()}});
+    }
+  }
+
+  const EntrySettings settings;
+  const Dialect& dialect;
+  const ControlEvents events;
+
+  mutable std::mutex mutex;
+  // Guarded by `mutex`.
+  std::map<NodeId, ControlVm> vms;
+  NodeId source;
+  uint64_t routes_version = 0;
+  bool has_directory = false;
+  bool stopping = false;
+  ServerBook book;
+  ConnectionPlan last_plan;
+  std::condition_variable changed;
+
+  peer::PeerSocket socket;
+  std::thread thread;
+};
+
+ControlLink::ControlLink(const EntrySettings& settings,
+                         const Dialect& dialect,
+                         ControlEvents events)
+    : impl_(std::make_unique<Impl>(settings, dialect, std::move(events))) {}
+
+ControlLink::~ControlLink() = default;
+
+void ControlLink::AddControlVms(const std::vector<NodeId>& nodes) {
+  impl_->AddControlVms(nodes);
+}
+
+bool ControlLink::IsReady() const {
+  std::lock_guard lock(impl_->mutex);
+  return impl_->routes_version > 0 && impl_->has_directory;
+}
+
+}  // namespace gooseberryrock::entry
