--- a/apps/node/main.cc
+++ b/apps/node/main.cc
@@ -12,6 +12,7 @@
 #include "gooseberryrock/node/node.h"
 #include "gooseberryrock/settings/check_settings.h"
 #include "gooseberryrock/telemetry/log_event.h"
+#include "tier_commands.h"
 
 namespace {
 
@@ -77,6 +78,21 @@
   return Run(report.settings);
 }
 
+// Adds a command that runs one role of a deployment in which nodes find each
+// other.
+CLI::App& AddRole(CLI::App& app,
+                  const char* name,
+                  const char* description,
+                  std::string& settings_path) {
+  CLI::App& command = *app.add_subcommand(name, description);
+  command
+      .add_option("--settings", settings_path,
+                  "Settings file: JSON with comments")
+      ->required()
+      ->type_name("FILE");
+  return command;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -84,10 +100,13 @@
   std::string settings_path;
   bool check_only = false;
   app.set_version_flag("--version", "gbrnode " GOOSEBERRYROCK_VERSION);
-  app.add_option("--settings", settings_path,
-                 "Settings file: JSON with comments")
-      ->required()
-      ->type_name("FILE");
+  auto* settings_option = app.add_option("--settings", settings_path,
+                                         "Settings file: JSON with comments")
+                              ->type_name("FILE");
+  CLI::App& entry = AddRole(app, "entry", "Serves callers", settings_path);
+  CLI::App& control =
+      AddRole(app, "control", "Keeps the routes and the list of servers",
+              settings_path);
   app.add_flag("--check", check_only,
                "Print all problems of the settings and stop; "
                "exit code 0 (valid) or 2");
@@ -98,11 +117,20 @@
       "SIGTERM stops the node after the queries in flight.");
   try {
     app.parse(argc, argv);
+    if (!entry && !control && settings_option->count() == 0) {
+      throw CLI::RequiredError("--settings");
+    }
   } catch (const CLI::ParseError& e) {
     // Prints help, the version or what is wrong.
     return app.exit(e) == 0 ? EXIT_SUCCESS : kExitFailure;
   }
   try {
+    if (entry) {
+      return gooseberryrock::RunEntryNode(settings_path);
+    }
+    if (control) {
+      return gooseberryrock::RunControlNode(settings_path);
+    }
     return CheckAndRun(settings_path, check_only);
   } catch (const gooseberryrock::Error& e) {
     std::cerr << "gbrnode: " << e.what() << "\n";
--- /dev/null
+++ b/apps/node/tier_commands.h
@@ -0,0 +1,18 @@
+// The commands of gbrnode that run one role of a deployment in which nodes find
+// each other.
+
+#ifndef GOOSEBERRYROCK_APPS_NODE_TIER_COMMANDS_H_
+#define GOOSEBERRYROCK_APPS_NODE_TIER_COMMANDS_H_
+
+#include <string>
+
+namespace gooseberryrock {
+
+// Both return the exit code after a stop signal, and throw
+// gooseberryrock::Error when the node cannot start.
+int RunEntryNode(const std::string& settings_path);
+int RunControlNode(const std::string& settings_path);
+
+}  // namespace gooseberryrock
+
+#endif  // GOOSEBERRYROCK_APPS_NODE_TIER_COMMANDS_H_
--- /dev/null
+++ b/libs/settings/src/tier_settings.cc
@@ -0,0 +1,145 @@
+// Settings of an entry node or a control VM.
+
+#include "gooseberryrock/settings/tier_settings.h"
+
+#include <charconv>
+#include <fstream>
+#include <optional>
+#include <sstream>
+
+#include <nlohmann/json.hpp>
+
+#include "gooseberryrock/settings/settings_error.h"
+#include "json_fields.h"
+
+namespace gooseberryrock::settings {
+
+namespace {
+
+constexpr Range kClusterKeyLength = {32, 256};
+constexpr Range kPort = {1, 65535};
+constexpr Range kTextLength = {0, 4096};
+constexpr Range kCores = {1, 256};
+constexpr Range kLosses = {0, 5};
+constexpr Range kStopSeconds = {1, 600};
+constexpr size_t kMaxControlVms = 64;
+
+Json ParseFile(const std::string& path) {
+  std::ifstream file(path);
+  std::stringstream text;
+  text << file.rdbuf();
+  if (!file) {
+    throw SettingsError(path + ": cannot be read");
+  }
+  try {
+    Json json = Json::parse(text.str(), nullptr, /*allow_exceptions=*/true,
+                            /*ignore_comments=*/true);
+    if (json.is_object()) {
+      return json;
+    }
+  } catch (const Json::parse_error& e) {
+    throw SettingsError(path +
+                        ": is not valid JSON with comments: " + e.what());
+  }
+  throw SettingsError(path + ": /: must be an object");
+}
+
+std::optional<Address> ParseAddress(const std::string& text) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string::npos || colon == 0) {
+    return std::nullopt;
+  }
+  Address address;
+  address.host = text.substr(0, colon);
+  const char* end = text.data() + text.size();
+  const auto result =
+      std::from_chars(text.data() + colon + 1, end, address.port);
+  if (result.ec != std::errc() || result.ptr != end || address.port == 0) {
+    return std::nullopt;
+  }
+  return address;
+}
+
+Address ReadAddressText(const JsonObject& root,
+                        std::string_view key,
+                        Presence presence) {
+  const std::string text = ReadString(root, key, presence, kTextLength);
+  const auto address = ParseAddress(text);
+  if (!address && (presence == Presence::kRequired || !text.empty())) {
+    AddProblem(root, key, "must be like \"10.0.0.1:8080\"");
+  }
+  return address.value_or(Address());
+}
+
+std::vector<Address> ReadControlVms(const JsonObject& root) {
+  std::vector<Address> addresses;
+  const Json* field = FindField(root, "control_vms", Presence::kRequired);
+  if (field == nullptr) {
+    return addresses;
+  }
+  if (!field->is_array() || field->size() > kMaxControlVms) {
+    AddProblem(root, "control_vms", "must be a list of up to 64 addresses");
+    return addresses;
+  }
+  for (const Json& it : *field) {
+    const auto address =
+        it.is_string() ? ParseAddress(it.get<std::string>()) : std::nullopt;
+    if (!address) {
+      AddProblem(root, "control_vms", "must hold texts like \"10.0.0.1:8080\"");
+      continue;
+    }
+    addresses.push_back(*address);
+  }
+  return addresses;
+}
+
+}  // namespace
+
+TierSettings LoadTierSettings(const std::string& path, TierRole role) {
+  const Json json = ParseFile(path);
+  std::vector<std::string> problems;
+  const JsonObject root{json, "", path, problems};
+  const Presence entry =
+      role == TierRole::kEntry ? Presence::kRequired : Presence::kOptional;
+  const Presence control =
+      role == TierRole::kControl ? Presence::kRequired : Presence::kOptional;
+  TierSettings settings;
+  settings.cluster = ReadName(root, "cluster", Presence::kRequired);
+  settings.cluster_key =
+      ReadString(root, "cluster_key", Presence::kRequired, kClusterKeyLength);
+  settings.name = ReadName(root, "name", Presence::kRequired);
+  settings.address = ReadName(root, "address", Presence::kRequired);
+  settings.failure_domain.value =
+      ReadName(root, "failure_domain", Presence::kRequired);
+  settings.peer_port = static_cast<uint16_t>(
+      ReadInteger(root, "peer_port", Presence::kRequired, kPort, 0));
+  settings.control_vms = ReadControlVms(root);
+  settings.first_start = ReadBool(root, "first_start", settings.first_start);
+  settings.data_folder = ReadString(root, "data_folder", control, kTextLength);
+  if (role == TierRole::kControl && settings.data_folder.empty()) {
+    AddProblem(root, "data_folder", "must name the folder of the control VM");
+  }
+  settings.control_address = ReadAddressText(root, "control_address", control);
+  settings.caller_address = ReadAddressText(root, "caller_address", entry);
+  settings.ready_address = ReadAddressText(root, "ready_address", entry);
+  settings.cores = static_cast<unsigned>(
+      ReadInteger(root, "cores", Presence::kOptional, kCores, settings.cores));
+  settings.tolerated_losses = static_cast<uint32_t>(
+      ReadInteger(root, "tolerated_losses", Presence::kOptional, kLosses,
+                  settings.tolerated_losses));
+  const auto default_stop =
+      std::chrono::duration_cast<std::chrono::seconds>(settings.stop_time);
+  settings.stop_time = std::chrono::seconds(
+      ReadInteger(root, "stop_time_s", Presence::kOptional, kStopSeconds,
+                  static_cast<uint64_t>(default_stop.count())));
+  if (!problems.empty()) {
+    std::string message;
+    for (const std::string& it : problems) {
+      message += (message.empty() ? "" : "\n") + it;
+    }
+    throw SettingsError(message);
+  }
+  return settings;
+}
+
+}  // namespace gooseberryrock::settings
