transport: a stopping server waits for open connections

Cause: a stopping entry node counted only whole requests. Ruled out: the balancer; the request came on a kept connection. Change: WebServer::OpenConnections counts connections until they are closed, and idle ones are closed first.

--- a/libs/control/src/control_node.cc
+++ b/libs/control/src/control_node.cc
@@ -498,7 +498,7 @@
   std::mutex wait_mutex;
   std::condition_variable wait;
   std::unique_lock lock(wait_mutex);
-  while (impl_->server->OpenRequests() > 0 && BootTime() < end) {
+  while (impl_->server->OpenConnections() > 0 && BootTime() < end) {
     wait.wait_for(lock, kStopCheck, [] { return false; });
   }
 }
--- a/libs/entry/src/entry_node.cc
+++ b/libs/entry/src/entry_node.cc
@@ -143,13 +143,13 @@
   impl_->callers->StartDraining();
   impl_->WaitFor(std::min(kBalancerNotice, impl_->settings.stop_time / 2));
   impl_->callers->StopAccepting();
-  while (impl_->callers->OpenRequests() > 0 && BootTime() < end) {
+  while (impl_->callers->OpenConnections() > 0 && BootTime() < end) {
     impl_->WaitFor(kDrainCheck);
   }
   telemetry::LogEvent(
       telemetry::LogLevel::kInfo, "entry_drained",
       {{"node", impl_->settings.node.value},
-       {"requests_cut", std::to_string(impl_->callers->OpenRequests())}});
+       {"connections_cut", std::to_string(impl_->callers->OpenConnections())}});
 }
 
 }  // namespace gooseberryrock::entry
--- a/libs/transport/include/gooseberryrock/transport/web_server.h
+++ b/libs/transport/include/gooseberryrock/transport/web_server.h
@@ -54,8 +54,9 @@
   // Accepts no connection any more and closes those without a request.
   void StopAccepting();
 
-  // Requests without a response.
-  size_t OpenRequests() const;
+  // Connections that are open. After StopAccepting() it comes to zero when the
+  // last response has left.
+  size_t OpenConnections() const;
 
  private:
   struct Impl;
--- a/libs/transport/src/web_server.cc
+++ b/libs/transport/src/web_server.cc
@@ -181,8 +181,8 @@
   }
 }
 
-size_t WebServer::OpenRequests() const {
-  return impl_->shared->open_requests;
+size_t WebServer::OpenConnections() const {
+  return impl_->shared->open_connections;
 }
 
 }  // namespace gooseberryrock::transport
--- a/libs/transport/src/web_session.cc
+++ b/libs/transport/src/web_session.cc
@@ -75,7 +75,13 @@
 WebSession::WebSession(asio::ip::tcp::socket socket,
                        size_t thread,
                        std::shared_ptr<WebServerShared> shared)
-    : socket_(std::move(socket)), thread_(thread), shared_(std::move(shared)) {}
+    : socket_(std::move(socket)), thread_(thread), shared_(std::move(shared)) {
+  ++shared_->open_connections;
+}
+
+WebSession::~WebSession() {
+  --shared_->open_connections;
+}
 
 void WebSession::Start() {
   deadline_ = BootTime() + shared_->Limits().idle_timeout;
@@ -161,7 +167,6 @@
   state_ = State::kBusy;
   // The handler bounds the time of a request in progress.
   deadline_ = SteadyTime::max();
-  ++shared_->open_requests;
   auto exchange = std::make_shared<Exchange>(shared_from_this(),
                                              parser_->release(), BootTime());
   exchange_ = exchange;
@@ -195,7 +200,6 @@
 
 void WebSession::RespondToError(http::status status) {
   state_ = State::kBusy;
-  ++shared_->open_requests;
   Response response(status, 11);
   Respond(std::move(response), /*caller_keeps_alive=*/false);
 }
@@ -205,7 +209,6 @@
     return;
   }
   state_ = State::kWriting;
-  --shared_->open_requests;
   deadline_ = BootTime() + kWriteTimeout;
   const bool keep_alive = caller_keeps_alive && !shared_->draining;
   response_ = std::move(response);
@@ -283,9 +286,6 @@
   if (state_ == State::kClosed) {
     return;
   }
-  if (state_ == State::kBusy) {
-    --shared_->open_requests;
-  }
   state_ = State::kClosed;
   ErrorCode ignored;
   socket_.close(ignored);
--- a/libs/transport/src/web_session.h
+++ b/libs/transport/src/web_session.h
@@ -25,7 +25,7 @@
 struct WebServerShared {
   WebServer::Handler handler;
   std::atomic<bool> draining = false;
-  std::atomic<size_t> open_requests = 0;
+  std::atomic<size_t> open_connections = 0;
 
   WebLimits Limits() const {
     std::lock_guard lock(mutex);
@@ -48,6 +48,9 @@
   WebSession(boost::asio::ip::tcp::socket socket,
              size_t thread,
              std::shared_ptr<WebServerShared> shared);
+  WebSession(const WebSession&) = delete;
+  WebSession& operator=(const WebSession&) = delete;
+  ~WebSession();
 
   void Start();
   void Respond(Response response, bool caller_keeps_alive);
