entry, control: serve sooner after a loss of power of all VMs

Ruled out: the disk (log read in 20 ms) and the start of the processes (0.2 s). Change: the log ticks at once; an entry node without routes asks every 50 ms; a request that comes in the first 3 s of a node waits up to 0.3 of the caller's patience for routes or servers, then is refused with Retry-After. What remains there is the time in which no process runs.

--- a/libs/control/src/replicated_log.cc
+++ b/libs/control/src/replicated_log.cc
@@ -165,7 +165,19 @@
     changed.notify_all();
   }
 
+  // Hands out the entries that are known to be committed, so that a VM serves
+  // what it stored before there is a leader.
+  void ApplyStored() {
+    try {
+      CarryOut(consensus::Tick(state, Now(), random));
+    } catch (const storage::StorageError& e) {
+      FailStorage(e);
+    }
+    PublishStatus();
+  }
+
   void Run() {
+    ApplyStored();
     while (auto batch = NextBatch()) {
       try {
         HandleBatch(std::move(*batch));
@@ -201,6 +213,7 @@
         reopen_at = Now() + kReopenInterval;
         Open();
         storage_failed = false;
+        CarryOut(consensus::Tick(state, Now(), random));
         telemetry::LogEvent(telemetry::LogLevel::kInfo, "storage_regained",
                             {{"node", options.self.value}});
       }
--- a/libs/entry/src/control_link.cc
+++ b/libs/entry/src/control_link.cc
@@ -32,6 +32,8 @@
 // Changes reach a node within this time and a round trip; a tenth of the 3 s in
 // which a change has to be in force.
 constexpr Duration kPollInterval = std::chrono::milliseconds(250);
+// While the node cannot serve yet it asks more often.
+constexpr Duration kStartPollInterval = std::chrono::milliseconds(50);
 // A control VM that has not answered for this long is no longer relied on: two
 // polls in a row were lost.
 constexpr Duration kSilence = std::chrono::milliseconds(750);
@@ -102,7 +104,9 @@
     std::unique_lock lock(mutex);
     while (!stopping) {
       Poll();
-      changed.wait_for(lock, kPollInterval, [this] { return stopping; });
+      changed.wait_for(
+          lock, routes_version == 0 ? kStartPollInterval : kPollInterval,
+          [this] { return stopping; });
     }
   }
 
--- a/libs/entry/src/entry_shard.cc
+++ b/libs/entry/src/entry_shard.cc
@@ -35,6 +35,13 @@
 constexpr size_t kMaxReplyBytes = size_t{8} << 20U;
 // Replies to other requests that are read before the right one.
 constexpr uint32_t kMostForeignReplies = 2;
+// After its start a node hears of all servers within this time: they announce
+// themselves about every second, some only to a VM that is just starting.
+constexpr Duration kLearningTime = std::chrono::seconds(3);
+// Requests that wait while the node learns, and the part of the caller's
+// patience that they wait: a caller that is refused then has time to try again.
+constexpr size_t kMostParked = 512;
+constexpr double kParkedShare = 0.3;
 // What a caller is told when no routes are known yet: a control VM is asked
 // several times in this time.
 constexpr Duration kNoRoutesRetryAfter = std::chrono::milliseconds(500);
@@ -155,6 +162,7 @@
                         std::to_string(server->stats.failures_in_row)}});
                 }
               }}),
+      started_(BootTime()),
       timer_(thread.context()) {
   thread_.Every(kSweepInterval, [this] {
     std::lock_guard lock(mutex_);
@@ -166,7 +174,60 @@
 
 void EntryShard::Handle(std::shared_ptr<transport::Exchange> exchange) {
   std::lock_guard lock(mutex_);
+  Admit(std::move(exchange));
+}
+
+bool EntryShard::IsLearning(SteadyTime now) const {
+  return now - started_ < kLearningTime;
+}
+
+bool EntryShard::KnowsServers(const routes::Route& route) {
+  const auto has_usable = [](const relay::ServicePool* pool) {
+    return std::any_of(pool->servers.begin(), pool->servers.end(),
+                       [](const relay::PoolServer& it) { return it.usable; });
+  };
+  const auto* weighted = std::get_if<routes::WeightedTarget>(&route.target);
+  if (weighted != nullptr) {
+    return std::all_of(weighted->services.begin(), weighted->services.end(),
+                       [&](const routes::WeightedService& it) {
+                         return has_usable(&PoolOf(it.service));
+                       });
+  }
+  const auto pools = PoolsOf(route);
+  return std::all_of(pools.begin(), pools.end(), has_usable);
+}
+
+void EntryShard::Park(std::shared_ptr<transport::Exchange> exchange,
+                      const CallerRequest& caller) {
+  const Duration patience = caller.patience.value_or(kLearningTime);
+  const SteadyTime until =
+      exchange->received_at() +
+      std::chrono::duration_cast<Duration>(patience * kParkedShare);
+  parked_.push_back({std::move(exchange), until});
+}
+
+void EntryShard::RetryParked() {
+  std::vector<Parked> parked;
+  parked.swap(parked_);
+  for (Parked& it : parked) {
+    if (!it.exchange->IsCallerGone()) {
+      Admit(std::move(it.exchange));
+    }
+  }
+}
+
+void EntryShard::Admit(std::shared_ptr<transport::Exchange> exchange) {
   CallerRequest caller = dialect_.read_request(exchange->request());
+  const SteadyTime now = BootTime();
+  const bool may_wait =
+      IsLearning(now) && parked_.size() < kMostParked &&
+      now < exchange->received_at() +
+                std::chrono::duration_cast<Duration>(
+                    caller.patience.value_or(kLearningTime) * kParkedShare);
+  if (!table_ && may_wait) {
+    Park(std::move(exchange), caller);
+    return;
+  }
   if (!table_) {
     telemetry::LogEvent(LogLevel::kWarning, "request_refused",
                         {{"request", caller.id}, {"reason", "no_routes"}});
@@ -186,6 +247,10 @@
     exchange->Respond(dialect_.no_route());
     return;
   }
+  if (may_wait && !KnowsServers(*route)) {
+    Park(std::move(exchange), caller);
+    return;
+  }
   Start(std::move(exchange), std::move(caller), *route);
 }
 
@@ -606,6 +671,7 @@
       OnLost(key, relay::AttemptResult::kSilent);
     }
   }
+  RetryParked();
   for (auto& [service, pool] : pools_) {
     for (relay::PoolServer& it : pool.servers) {
       const bool ahead = it.usable && it.stats.failures_in_row == 0;
@@ -626,6 +692,7 @@
     std::lock_guard lock(mutex_);
     table_ = table;
     ApplyShares();
+    RetryParked();
   });
 }
 
@@ -635,6 +702,7 @@
     for (const ServerChange& it : changes) {
       PutServer(it);
     }
+    RetryParked();
   });
 }
 
--- a/libs/entry/src/entry_shard.h
+++ b/libs/entry/src/entry_shard.h
@@ -61,11 +61,26 @@
   // An attempt at a server, also one that no request waits for any more.
   struct Flight;
   using ActiveNumber = uint64_t;
+  // A request that came before the node knew where to send it.
+  struct Parked {
+    std::shared_ptr<transport::Exchange> exchange;
+    // When it is refused.
+    SteadyTime until;
+  };
 
   relay::RelayContext Context() { return {policy_, random_}; }
+  // Starts the request, keeps it for later, or refuses it.
+  void Admit(std::shared_ptr<transport::Exchange> exchange);
   void Start(std::shared_ptr<transport::Exchange> exchange,
              CallerRequest caller,
              const routes::Route& route);
+  // Whether the node has started so recently that routes or servers may only
+  // not have been heard of yet.
+  bool IsLearning(SteadyTime now) const;
+  bool KnowsServers(const routes::Route& route);
+  void Park(std::shared_ptr<transport::Exchange> exchange,
+            const CallerRequest& caller);
+  void RetryParked();
   std::vector<relay::ServicePool*> PoolsOf(const routes::Route& route);
   relay::ServicePool& PoolOf(const ServiceName& service);
   void Apply(ActiveNumber number, relay::RequestEffects effects);
@@ -106,6 +121,9 @@
   ServerLinks links_;
   std::unordered_map<ActiveNumber, std::unique_ptr<Active>> active_;
   std::unordered_map<AttemptKey, Flight> flights_;
+  // Requests that wait for routes or servers, with the time of their refusal.
+  std::vector<Parked> parked_;
+  const SteadyTime started_;
   ActiveNumber next_active_ = 1;
   AttemptKey next_flight_ = 1;
   std::multimap<SteadyTime, ActiveNumber> timers_;
--- a/libs/transport/include/gooseberryrock/transport/exchange.h
+++ b/libs/transport/include/gooseberryrock/transport/exchange.h
@@ -32,6 +32,9 @@
   // The length field and those about the connection are set here.
   void Respond(Response response);
 
+  // Whether the caller closed the connection before the response.
+  bool IsCallerGone() const;
+
   // Calls `handler` when the caller closes the connection before the response.
   void OnCallerGone(std::function<void()> handler);
 
--- a/libs/transport/src/web_session.cc
+++ b/libs/transport/src/web_session.cc
@@ -68,6 +68,10 @@
   }
 }
 
+bool Exchange::IsCallerGone() const {
+  return !session_ || session_->IsClosed();
+}
+
 void Exchange::OnCallerGone(std::function<void()> handler) {
   on_gone_ = std::move(handler);
 }
--- a/libs/transport/src/web_session.h
+++ b/libs/transport/src/web_session.h
@@ -58,6 +58,7 @@
   void CheckDeadline(SteadyTime now);
   // Closes the connection when it carries no request.
   void CloseIfIdle();
+  bool IsClosed() const { return state_ == State::kClosed; }
   void Close();
 
  private:
