node: end the process without teardown after a drain

Ruled out: open connections (connections_cut=0). Not found: which thread or socket the teardown waits for on the platform. Change: the process ends at once when the node has stopped serving; what is on disk was synced before it was acknowledged.

--- a/apps/node/main.cc
+++ b/apps/node/main.cc
@@ -126,10 +126,10 @@
   }
   try {
     if (entry) {
-      return gooseberryrock::RunEntryNode(settings_path);
+      gooseberryrock::RunEntryNode(settings_path);
     }
     if (control) {
-      return gooseberryrock::RunControlNode(settings_path);
+      gooseberryrock::RunControlNode(settings_path);
     }
     return CheckAndRun(settings_path, check_only);
   } catch (const gooseberryrock::Error& e) {
--- a/apps/node/tier_commands.cc
+++ b/apps/node/tier_commands.cc
@@ -116,8 +116,11 @@
   return settings;
 }
 
+// Returns when the node has stopped serving. The process then ends without
+// taking the node apart: nothing is pending on disk, and ending the threads and
+// sockets has taken longer than the stop time on the users' platform.
 template <typename Node>
-int Serve(Node& node,
+[[noreturn]] void Serve(Node& node,
           const sigset_t& signals,
           const TierSettings& settings,
           const std::string& path,
@@ -128,12 +131,12 @@
   LogEvent(LogLevel::kInfo, "node_draining", {{"node", settings.name}});
   node.Drain();
   LogEvent(LogLevel::kInfo, "node_stopped", {{"node", settings.name}});
-  return EXIT_SUCCESS;
+  std::_Exit(EXIT_SUCCESS);
 }
 
 }  // namespace
 
-int RunEntryNode(const std::string& settings_path) {
+void RunEntryNode(const std::string& settings_path) {
   const TierSettings settings = Prepare(settings_path, TierRole::kEntry);
   entry::EntrySettings entry;
   entry.cluster = settings.cluster;
@@ -148,10 +151,10 @@
   entry.stop_time = settings.stop_time;
   const sigset_t signals = BlockSignals();
   entry::EntryNode node(entry, platform::EntryDialect());
-  return Serve(node, signals, settings, settings_path, TierRole::kEntry);
+  Serve(node, signals, settings, settings_path, TierRole::kEntry);
 }
 
-int RunControlNode(const std::string& settings_path) {
+void RunControlNode(const std::string& settings_path) {
   const TierSettings settings = Prepare(settings_path, TierRole::kControl);
   control::ControlSettings control;
   control.cluster = settings.cluster;
@@ -166,7 +169,7 @@
   control.tolerated_losses = settings.tolerated_losses;
   const sigset_t signals = BlockSignals();
   control::ControlNode node(control, platform::ControlDialect());
-  return Serve(node, signals, settings, settings_path, TierRole::kControl);
+  Serve(node, signals, settings, settings_path, TierRole::kControl);
 }
 
 }  // namespace gooseberryrock
--- a/apps/node/tier_commands.h
+++ b/apps/node/tier_commands.h
@@ -8,10 +8,10 @@
 
 namespace gooseberryrock {
 
-// Both return the exit code after a stop signal, and throw
-// gooseberryrock::Error when the node cannot start.
-int RunEntryNode(const std::string& settings_path);
-int RunControlNode(const std::string& settings_path);
+// Both end the process after a stop signal, and throw gooseberryrock::Error when
+// the node cannot start.
+[[noreturn]] void RunEntryNode(const std::string& settings_path);
+[[noreturn]] void RunControlNode(const std::string& settings_path);
 
 }  // namespace gooseberryrock
 
