relay: cost of other failure domains and earliest hedge follow the target latency

A server of the own domain with one request more was left for one elsewhere, and attempts beyond the p95 were repeated although they were far from late. Change: a server in another domain costs 0.15 of the target latency more (7 ms before); no attempt is repeated before 0.25 of the target latency (8 ms before).

--- a/libs/relay/include/gooseberryrock/relay/relay_policy.h
+++ b/libs/relay/include/gooseberryrock/relay/relay_policy.h
@@ -12,10 +12,10 @@
   // two round trips of a caller link of 3 ms, one of them for a new connection.
   Duration answer_margin = std::chrono::milliseconds(13);
 
-  // Added to the cost of a server in another failure domain: the round trip of
-  // today's deployments (3 ms) and as much again for the traffic, which is
-  // charged for.
-  Duration cross_domain_cost = std::chrono::milliseconds(7);
+  // Added to the cost of a server in another failure domain, as a part of the
+  // target latency. Traffic between domains is charged for, and an answer that
+  // is in time is not worth more for being earlier.
+  double cross_domain_share = 0.15;
   // Cost of opening a connection: today's servers take up to 6 ms.
   Duration connect_cost = std::chrono::milliseconds(8);
   // Cost of a server that has an attempt without a reply beyond the usual time,
@@ -27,9 +27,10 @@
 
   // The share of the replies that arrive before an attempt counts as overdue.
   double overdue_quantile = 0.95;
-  // An attempt is never overdue before this time, which is twice the round trip
-  // between failure domains and a reply of the fastest kind of request.
-  Duration least_overdue = std::chrono::milliseconds(8);
+  // Part of the target latency before which an attempt is never overdue: a
+  // second one still has the rest, and earlier ones would repeat attempts that
+  // are only a little slow.
+  double least_overdue_share = 0.25;
   // Part of the target latency after which an attempt is overdue at the latest:
   // a second one then has as much time again.
   double most_overdue_share = 0.45;
--- a/libs/relay/src/choose_server.cc
+++ b/libs/relay/src/choose_server.cc
@@ -52,7 +52,7 @@
       Scale(typical, slowness * (1 + waiting + policy.balance * load / slots));
   cost += Scale(selection.target_latency, server.stats.failure_share);
   if (!server.own_domain) {
-    cost += policy.cross_domain_cost;
+    cost += Scale(selection.target_latency, policy.cross_domain_share);
   }
   if (server.idle_connections == 0) {
     cost += server.connections < server.connection_share ? policy.connect_cost
--- a/libs/relay/src/service_pool.cc
+++ b/libs/relay/src/service_pool.cc
@@ -71,8 +71,8 @@
   if (overdue <= Duration::zero()) {
     return Scale(target_latency, policy.unknown_overdue_share);
   }
-  const Duration most = Scale(target_latency, policy.most_overdue_share);
-  return std::min(most, std::max(policy.least_overdue, overdue));
+  return std::clamp(overdue, Scale(target_latency, policy.least_overdue_share),
+                    Scale(target_latency, policy.most_overdue_share));
 }
 
 }  // namespace gooseberryrock::relay
