relay: leave out busy shards, refuse at once what cannot be in time

Ruled out: the extra attempts; the budget was used up only while half of the servers shed. Change: the expected time of a server follows from its reported load and the time of undelayed requests; a gathered request leaves out the busiest shards beyond a part of its target latency as far as the least coverage allows, and is refused with the expected wait when it cannot be in time; a failed attempt costs its repetition while the budget lasts.

--- a/apps/node/tier_commands.cc
+++ b/apps/node/tier_commands.cc
@@ -121,10 +121,10 @@
 // sockets has taken longer than the stop time on the users' platform.
 template <typename Node>
 [[noreturn]] void Serve(Node& node,
-          const sigset_t& signals,
-          const TierSettings& settings,
-          const std::string& path,
-          TierRole role) {
+                        const sigset_t& signals,
+                        const TierSettings& settings,
+                        const std::string& path,
+                        TierRole role) {
   WaitForStop(signals, path, role, [&node](const std::vector<NodeId>& it) {
     node.AddControlVms(it);
   });
--- a/apps/node/tier_commands.h
+++ b/apps/node/tier_commands.h
@@ -8,8 +8,8 @@
 
 namespace gooseberryrock {
 
-// Both end the process after a stop signal, and throw gooseberryrock::Error when
-// the node cannot start.
+// Both end the process after a stop signal, and throw gooseberryrock::Error
+// when the node cannot start.
 [[noreturn]] void RunEntryNode(const std::string& settings_path);
 [[noreturn]] void RunControlNode(const std::string& settings_path);
 
--- a/libs/entry/src/control_link.cc
+++ b/libs/entry/src/control_link.cc
@@ -104,9 +104,9 @@
     std::unique_lock lock(mutex);
     while (!stopping) {
       Poll();
-      changed.wait_for(
-          lock, routes_version == 0 ? kStartPollInterval : kPollInterval,
-          [this] { return stopping; });
+      changed.wait_for(lock,
+                       routes_version == 0 ? kStartPollInterval : kPollInterval,
+                       [this] { return stopping; });
     }
   }
 
--- a/libs/relay/include/gooseberryrock/relay/choose_server.h
+++ b/libs/relay/include/gooseberryrock/relay/choose_server.h
@@ -28,6 +28,20 @@
 };
 
 // Expected time until `server` has answered one more request.
+Duration ExpectedTime(const ServicePool& pool,
+                      const PoolServer& server,
+                      const RelayPolicy& policy,
+                      const Selection& selection,
+                      SteadyTime now);
+
+// The least expected time of the servers that respond; Duration::max() when
+// there is none.
+Duration LeastExpectedTime(const ServicePool& pool,
+                           const RelayPolicy& policy,
+                           const Selection& selection,
+                           SteadyTime now);
+
+// ExpectedTime() and what else speaks against the server.
 Duration ServerCost(const ServicePool& pool,
                     const PoolServer& server,
                     const RelayPolicy& policy,
--- a/libs/relay/include/gooseberryrock/relay/relay_policy.h
+++ b/libs/relay/include/gooseberryrock/relay/relay_policy.h
@@ -3,6 +3,9 @@
 #ifndef GOOSEBERRYROCK_RELAY_RELAY_POLICY_H_
 #define GOOSEBERRYROCK_RELAY_RELAY_POLICY_H_
 
+#include <array>
+
+#include "gooseberryrock/base/rank.h"
 #include "gooseberryrock/base/time.h"
 
 namespace gooseberryrock::relay {
@@ -21,6 +24,13 @@
   // Cost of a server that has an attempt without a reply beyond the usual time,
   // or that failed lately: more than any target latency of today.
   Duration suspect_cost = std::chrono::seconds(2);
+  // Times the typical time that a failed attempt costs: itself, its repetition
+  // and as much again for the load that both are.
+  double failure_factor = 3;
+  // A shard whose servers are expected to take more than this part of the
+  // target latency is left out where the least coverage allows it, by rank.
+  // Less urgent work leaves the servers' queues to the more urgent.
+  std::array<double, kRankCount> fill_share = {0.7, 0.5, 1.0};
   // Part of the typical time that a server costs more when all of its slots
   // are busy, so that equal servers share the work.
   double balance = 0.5;
--- a/libs/relay/include/gooseberryrock/relay/request_state.h
+++ b/libs/relay/include/gooseberryrock/relay/request_state.h
@@ -37,6 +37,8 @@
   bool answered = false;
   // No attempt is open and none will be made.
   bool failed = false;
+  // Left out from the start, because its servers are busy or do not respond.
+  bool skipped = false;
   // An attempt was sent and not refused by the server.
   bool may_have_run = false;
   // Attempts that reached a server, or may have.
--- a/libs/relay/include/gooseberryrock/relay/service_pool.h
+++ b/libs/relay/include/gooseberryrock/relay/service_pool.h
@@ -24,6 +24,8 @@
   query::LatencyEstimate estimate;
   // From the estimate, refreshed every few milliseconds; zero while unknown.
   Duration typical = Duration::zero();
+  // Of a request that did not have to wait.
+  Duration quick = Duration::zero();
   Duration overdue = Duration::zero();
   SteadyTime refreshed_at;
 };
@@ -54,6 +56,16 @@
                      Rank rank,
                      Duration target_latency);
 
+// The time of a reply to a request of `rank` that does not have to wait.
+Duration QuickTime(const ServicePool& pool,
+                   const RelayPolicy& policy,
+                   Rank rank,
+                   Duration target_latency);
+
+// The mean time that a request in the queue of a server takes, over all ranks;
+// zero while unknown.
+Duration MeanQuickTime(const ServicePool& pool);
+
 // When an attempt without a reply counts as overdue.
 Duration OverdueAfter(const ServicePool& pool,
                       const RelayPolicy& policy,
--- a/libs/relay/src/choose_server.cc
+++ b/libs/relay/src/choose_server.cc
@@ -34,8 +34,45 @@
   return std::chrono::duration_cast<Duration>(duration * factor);
 }
 
+double Slots(const PoolServer& server) {
+  return std::max<double>(server.slots, 1);
+}
+
+double TotalLoad(const PoolServer& server,
+                 const RelayPolicy& policy,
+                 SteadyTime now) {
+  return LoadAt(server.stats, policy, now) + server.queued;
+}
+
 }  // namespace
 
+Duration ExpectedTime(const ServicePool& pool,
+                      const PoolServer& server,
+                      const RelayPolicy& policy,
+                      const Selection& selection,
+                      SteadyTime now) {
+  const Duration quick =
+      QuickTime(pool, policy, selection.rank, selection.target_latency);
+  const double slots = Slots(server);
+  const double waiting =
+      std::max(0.0, TotalLoad(server, policy, now) + 1 - slots) / slots;
+  const Duration queue = Scale(MeanQuickTime(pool), waiting);
+  return Scale(quick + queue, SlownessAt(server.stats, policy, now));
+}
+
+Duration LeastExpectedTime(const ServicePool& pool,
+                           const RelayPolicy& policy,
+                           const Selection& selection,
+                           SteadyTime now) {
+  Duration least = Duration::max();
+  for (const PoolServer& it : pool.servers) {
+    if (it.usable && !IsSuspect(it.stats, now)) {
+      least = std::min(least, ExpectedTime(pool, it, policy, selection, now));
+    }
+  }
+  return least;
+}
+
 Duration ServerCost(const ServicePool& pool,
                     const PoolServer& server,
                     const RelayPolicy& policy,
@@ -43,14 +80,15 @@
                     SteadyTime now) {
   const Duration typical =
       TypicalTime(pool, policy, selection.rank, selection.target_latency);
-  const double load =
-      LoadAt(server.stats, policy, now) + static_cast<double>(server.queued);
-  const double slots = std::max<double>(server.slots, 1);
-  const double slowness = SlownessAt(server.stats, policy, now);
-  const double waiting = std::max(0.0, load + 1 - slots) / slots;
-  Duration cost =
-      Scale(typical, slowness * (1 + waiting + policy.balance * load / slots));
-  cost += Scale(selection.target_latency, server.stats.failure_share);
+  Duration cost = ExpectedTime(pool, server, policy, selection, now);
+  cost += Scale(
+      typical, policy.balance * TotalLoad(server, policy, now) / Slots(server));
+  // An attempt that fails is made again while the budget lasts; afterwards the
+  // shard is missing.
+  const Duration failure_cost = pool.budget.tokens >= 1
+                                    ? Scale(typical, policy.failure_factor)
+                                    : selection.target_latency;
+  cost += Scale(failure_cost, server.stats.failure_share);
   if (!server.own_domain) {
     cost += Scale(selection.target_latency, policy.cross_domain_share);
   }
--- a/libs/relay/src/request_machine.cc
+++ b/libs/relay/src/request_machine.cc
@@ -22,6 +22,10 @@
 // server is announced and tried again.
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(300);
 
+// A queue that is too long by any amount takes this long to be worth a new try:
+// a few requests of today's services.
+constexpr Duration kLeastOverloadWait = std::chrono::milliseconds(50);
+
 enum class Reach { kAnyServer, kHealthyServers };
 
 RequestAttempt* Find(RequestState& state, AttemptNumber number) {
@@ -245,6 +249,70 @@
   }
 }
 
+Selection SelectionOf(const RequestState& state) {
+  Selection selection;
+  selection.rank = state.route->rank;
+  selection.target_latency = state.route->target_latency;
+  return selection;
+}
+
+void SkipPart(RequestState& state, RequestPart& part) {
+  part.skipped = true;
+  FailPart(state, part);
+}
+
+// Leaves out the shards that do not respond, and the busiest of those that are
+// expected to take too long, as far as the least coverage allows.
+void SkipShards(RequestState& state, RelayContext context, SteadyTime now) {
+  const Duration most = std::chrono::duration_cast<Duration>(
+      state.route->target_latency *
+      context.policy.fill_share[RankIndex(state.route->rank)]);
+  const Selection selection = SelectionOf(state);
+  std::vector<std::pair<Duration, RequestPart*>> busy;
+  for (RequestPart& it : state.parts) {
+    if (IsUnavailable(*it.pool, now)) {
+      SkipPart(state, it);
+      continue;
+    }
+    const Duration expected =
+        LeastExpectedTime(*it.pool, context.policy, selection, now);
+    if (expected > most && expected < Duration::max()) {
+      busy.emplace_back(expected, &it);
+    }
+  }
+  std::sort(busy.rbegin(), busy.rend());
+  for (const auto& [expected, part] : busy) {
+    if (state.parts.size() - state.parts_failed <= state.least_parts) {
+      return;
+    }
+    SkipPart(state, *part);
+  }
+}
+
+// How long until the request may be answered in time, when it cannot be now.
+std::optional<Duration> OverloadWait(const RequestState& state,
+                                     RelayContext context,
+                                     SteadyTime now) {
+  const Selection selection = SelectionOf(state);
+  Duration longest = Duration::zero();
+  for (const RequestPart& it : state.parts) {
+    if (!it.skipped) {
+      const Duration expected =
+          LeastExpectedTime(*it.pool, context.policy, selection, now);
+      longest = std::max(
+          longest, expected < Duration::max() ? expected : Duration::zero());
+    }
+  }
+  const Duration left = state.settle_at - now;
+  if (longest <= left) {
+    return std::nullopt;
+  }
+  // Callers that are refused at the same time come back at different times.
+  std::uniform_real_distribution<double> spread(1.0, 2.0);
+  return std::chrono::duration_cast<Duration>(
+      std::max(longest - left, kLeastOverloadWait) * spread(context.random));
+}
+
 }  // namespace
 
 RequestState MakeRequest(const routes::Route& route,
@@ -278,13 +346,19 @@
            effects);
     return effects;
   }
+  if (state.IsGathered()) {
+    SkipShards(state, context, now);
+    if (const auto wait = OverloadWait(state, context, now)) {
+      Finish(state, RefusedOutcome{RefusalReason::kOverloaded, *wait}, effects);
+      return effects;
+    }
+  }
   for (size_t i = 0; i < state.parts.size(); ++i) {
     RequestPart& part = state.parts[i];
     query::EarnBudget(part.pool->budget, 1);
-    // A shard without a responding server would only delay the answer.
-    const bool skip = state.IsGathered() && IsUnavailable(*part.pool, now);
-    if (skip || !AddAttempt(state, i, AttemptCause::kFirst, Reach::kAnyServer,
-                            context, now, effects)) {
+    if (!part.skipped &&
+        !AddAttempt(state, i, AttemptCause::kFirst, Reach::kAnyServer, context,
+                    now, effects)) {
       FailPart(state, part);
     }
   }
--- a/libs/relay/src/service_pool.cc
+++ b/libs/relay/src/service_pool.cc
@@ -46,6 +46,11 @@
   }
   times.refreshed_at = now;
   constexpr double kMedian = 0.5;
+  // Servers are free for at least this share of the requests, unless they are
+  // overloaded, when the estimate is too high and the node more careful.
+  constexpr double kUndelayed = 0.25;
+  times.quick = query::LatencyQuantile(times.estimate, kUndelayed)
+                    .value_or(Duration::zero());
   times.typical = query::LatencyQuantile(times.estimate, kMedian)
                       .value_or(Duration::zero());
   times.overdue =
@@ -63,6 +68,26 @@
              : Scale(target_latency, policy.unknown_typical_share);
 }
 
+Duration QuickTime(const ServicePool& pool,
+                   const RelayPolicy& policy,
+                   Rank rank,
+                   Duration target_latency) {
+  const Duration quick = pool.times[RankIndex(rank)].quick;
+  return quick > Duration::zero()
+             ? quick
+             : Scale(target_latency, policy.unknown_typical_share);
+}
+
+Duration MeanQuickTime(const ServicePool& pool) {
+  double weight = 0;
+  Duration sum = Duration::zero();
+  for (const ReplyTimes& it : pool.times) {
+    weight += it.estimate.weight;
+    sum += Scale(it.quick, it.estimate.weight);
+  }
+  return weight > 0 ? Scale(sum, 1 / weight) : Duration::zero();
+}
+
 Duration OverdueAfter(const ServicePool& pool,
                       const RelayPolicy& policy,
                       Rank rank,
