--- a/apps/node/tier_commands.cc
+++ b/apps/node/tier_commands.cc
@@ -101,7 +101,7 @@
 }
 
 TierSettings Prepare(const std::string& path, TierRole role) {
-  const TierSettings settings = settings::LoadTierSettings(path, role);
+  TierSettings settings = settings::LoadTierSettings(path, role);
   telemetry::InitializeLog(LogLevel::kInfo);
   // Malformed messages are reported as typed errors; protobuf would also write
   // its own lines into the log.
@@ -131,6 +131,7 @@
   LogEvent(LogLevel::kInfo, "node_draining", {{"node", settings.name}});
   node.Drain();
   LogEvent(LogLevel::kInfo, "node_stopped", {{"node", settings.name}});
+  telemetry::FlushLog();
   std::_Exit(EXIT_SUCCESS);
 }
 
--- a/libs/telemetry/include/gooseberryrock/telemetry/log_event.h
+++ b/libs/telemetry/include/gooseberryrock/telemetry/log_event.h
@@ -18,11 +18,18 @@
 
 using LogField = std::pair<std::string_view, std::string>;
 
-// Sends the log to standard error. Call once, before the first event.
+// Sends the log to standard output, through a bounded queue and a thread of its
+// own, so that a reader that stops reading holds up nothing. Call before the
+// first event.
 void InitializeLog(LogLevel least);
 
+// Returns when the lines so far are written, or after a short time.
+void FlushLog();
+
 // Writes `event=<event>` and the fields as one line. Values are quoted and
-// escaped where needed, so that a value cannot forge a field or an event.
+// escaped where needed, so that a value cannot forge a field or an event. Each
+// event has a limit of lines a second; a line after others were left out says
+// how many in the field `suppressed`.
 void LogEvent(LogLevel level,
               std::string_view event,
               std::initializer_list<LogField> fields);
--- a/libs/telemetry/src/log_event.cc
+++ b/libs/telemetry/src/log_event.cc
@@ -9,7 +9,14 @@
 #include <log4cplus/loggingmacros.h>
 
 #include <algorithm>
+#include <chrono>
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <map>
 #include <memory>
+#include <mutex>
+#include <thread>
 
 namespace gooseberryrock::telemetry {
 
@@ -29,6 +36,115 @@
   return log4cplus::INFO_LOG_LEVEL;
 }
 
+// Lines of one event that may be written at once, and a second afterwards. An
+// operator needs some of each kind; a flood of one must not cost the node its
+// processor time.
+constexpr double kBurstLines = 50;
+constexpr double kLinesPerSecond = 20;
+// Lines that wait for the writer; more are dropped and counted.
+constexpr size_t kMaxQueuedLines = 4096;
+constexpr std::chrono::milliseconds kFlushTime{300};
+
+struct EventQuota {
+  double lines = kBurstLines;
+  std::chrono::steady_clock::time_point refilled_at;
+  uint64_t suppressed = 0;
+};
+
+struct QueuedLine {
+  log4cplus::LogLevel level = 0;
+  std::string text;
+};
+
+// The queue between the threads that log and the one that writes.
+class LogQueue {
+ public:
+  LogQueue() : thread_([this] { Run(); }) {}
+  LogQueue(const LogQueue&) = delete;
+  LogQueue& operator=(const LogQueue&) = delete;
+  ~LogQueue() {
+    {
+      std::lock_guard lock(mutex_);
+      stopping_ = true;
+    }
+    changed_.notify_all();
+    thread_.join();
+  }
+
+  // Takes one line of the event's quota. Returns how many lines were left out
+  // before it, or nothing when it is left out as well.
+  std::optional<uint64_t> Admit(std::string_view event) {
+    const auto now = std::chrono::steady_clock::now();
+    std::lock_guard lock(mutex_);
+    auto it = quotas_.find(event);
+    if (it == quotas_.end()) {
+      it = quotas_.emplace(event, EventQuota{kBurstLines, now, 0}).first;
+    }
+    EventQuota& quota = it->second;
+    const std::chrono::duration<double> passed = now - quota.refilled_at;
+    quota.refilled_at = now;
+    quota.lines =
+        std::min(kBurstLines, quota.lines + passed.count() * kLinesPerSecond);
+    if (quota.lines < 1 || lines_.size() >= kMaxQueuedLines) {
+      ++quota.suppressed;
+      return std::nullopt;
+    }
+    quota.lines -= 1;
+    return std::exchange(quota.suppressed, 0);
+  }
+
+  void Push(QueuedLine line) {
+    {
+      std::lock_guard lock(mutex_);
+      lines_.push_back(std::move(line));
+    }
+    changed_.notify_all();
+  }
+
+  void Flush() {
+    std::unique_lock lock(mutex_);
+    written_.wait_for(lock, kFlushTime,
+                      [this] { return lines_.empty() && !writing_; });
+  }
+
+ private:
+  void Run() {
+    std::unique_lock lock(mutex_);
+    while (true) {
+      changed_.wait(lock, [this] { return stopping_ || !lines_.empty(); });
+      if (lines_.empty()) {
+        return;
+      }
+      std::deque<QueuedLine> lines;
+      lines.swap(lines_);
+      writing_ = true;
+      lock.unlock();
+      auto root = log4cplus::Logger::getRoot();
+      for (const QueuedLine& it : lines) {
+        root.forcedLog(it.level, it.text);
+      }
+      lock.lock();
+      writing_ = false;
+      written_.notify_all();
+    }
+  }
+
+  std::mutex mutex_;
+  // Guarded by `mutex_`.
+  std::map<std::string, EventQuota, std::less<>> quotas_;
+  std::deque<QueuedLine> lines_;
+  bool writing_ = false;
+  bool stopping_ = false;
+  std::condition_variable changed_;
+  std::condition_variable written_;
+  std::thread thread_;
+};
+
+LogQueue& Queue() {
+  static LogQueue queue;
+  return queue;
+}
+
 bool IsPlain(unsigned char c) {
   return c > ' ' && c < 0x7f && c != '"' && c != '\\' && c != '=';
 }
@@ -68,7 +184,7 @@
 void InitializeLog(LogLevel least) {
   static const log4cplus::Initializer initializer;
   log4cplus::SharedAppenderPtr appender(
-      new log4cplus::ConsoleAppender(/*logToStdErr=*/true,
+      new log4cplus::ConsoleAppender(/*logToStdErr=*/false,
                                      /*immediateFlush=*/true));
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
       "time=%D{%Y-%m-%dT%H:%M:%S.%q}Z level=%p %m%n"));
@@ -76,6 +192,12 @@
   root.removeAllAppenders();
   root.addAppender(appender);
   root.setLogLevel(ToLog4cplus(least));
+  // log4cplus ends after the queue, which uses it to its end.
+  Queue();
+}
+
+void FlushLog() {
+  Queue().Flush();
 }
 
 std::string EscapeLogValue(std::string_view value) {
@@ -100,6 +222,10 @@
   if (!root.isEnabledFor(log4cplus_level)) {
     return;
   }
+  const auto suppressed = Queue().Admit(event);
+  if (!suppressed) {
+    return;
+  }
   std::string line = "event=" + std::string(event);
   for (const auto& [key, value] : fields) {
     line += ' ';
@@ -107,7 +233,10 @@
     line += '=';
     line += EscapeLogValue(value);
   }
-  root.forcedLog(log4cplus_level, line);
+  if (*suppressed > 0) {
+    line += " suppressed=" + std::to_string(*suppressed);
+  }
+  Queue().Push({log4cplus_level, std::move(line)});
 }
 
 }  // namespace gooseberryrock::telemetry
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -1,13 +1,57 @@
 #!/usr/bin/env bash
 # Runs clang-tidy over all C++ sources of the project, or over the files named
-# as arguments. Needs a configured build folder.
+# as arguments. Needs a built build folder. A file that passed before is not
+# checked again while it, the project's headers that it includes, the rules and
+# the installed packages are the same.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
+readonly ROOT="$PWD"
+readonly CACHE="${XDG_CACHE_HOME:-$HOME/.cache}/gooseberryrock-lint"
+mkdir -p "$CACHE"
+
+# Equal for equal rules, tools and system headers.
+base=$({
+  cat .clang-tidy cmake/*.cmake
+  clang-tidy --version
+  dpkg-query -W
+} | sha256sum)
+readonly base
+
 if [ "$#" -gt 0 ]; then
   files=("$@")
 else
   mapfile -t files < <(git ls-files '*.cc' | grep -v '\.pb\.')
 fi
-printf '%s\n' "${files[@]}" |
-  xargs -P "$(nproc)" -n 1 clang-tidy -p build --quiet 2>/dev/null
+
+# One line for each object: the source and the project files that it includes.
+includes=$(mktemp)
+todo=$(mktemp)
+trap 'rm -f "$includes" "$todo"' EXIT
+ninja -C build -t deps | awk -v root="$ROOT/" '
+  /^[^ ]/ { if (line != "") print line; line = "" }
+  /^    / {
+    if (index($1, root) == 1) {
+      line = line (line == "" ? "" : " ") substr($1, length(root) + 1)
+    }
+  }
+  END { if (line != "") print line }' | sort -u >"$includes"
+
+for file in "${files[@]}"; do
+  list=$(awk -v file="$file" '$1 == file { print; exit }' "$includes")
+  key=$({
+    echo "$base"
+    # shellcheck disable=SC2086
+    sha256sum ${list:-$file}
+  } | sha256sum | cut -d' ' -f1)
+  # A file that is in no object has no list of headers to rely on.
+  if [ -z "$list" ] || [ ! -e "$CACHE/$key" ]; then
+    echo "$file $CACHE/$key" >>"$todo"
+  fi
+done
+
+echo "linting $(wc -l <"$todo") of ${#files[@]} files"
+xargs -r -P "$(nproc)" -L 1 sh -c \
+  'clang-tidy -p build --quiet --extra-arg=-Wno-unknown-warning-option "$0" \
+    2>/dev/null && touch "$1"' <"$todo"
+find "$CACHE" -type f -mtime +30 -delete
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -3,17 +3,27 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
+# Lets the compiler cache serve another checkout of the same files.
+export CCACHE_BASEDIR="$PWD"
+export CCACHE_NOHASHDIR=1
+
+stage() {
+  echo "== $1 (after ${SECONDS} s)"
+}
+
+stage "packages"
 scripts/install_packages.sh
-echo "== format"
+stage "format"
 scripts/format.sh --check
-echo "== build"
+stage "build"
 cmake --preset default >/dev/null
 cmake --build --preset default -- -k 0
-echo "== lint"
+stage "lint"
 scripts/lint.sh
-echo "== unit tests with AddressSanitizer and UndefinedBehaviorSanitizer"
+stage "unit tests with AddressSanitizer and UndefinedBehaviorSanitizer"
 cmake --preset asan >/dev/null
 cmake --build --preset asan --target unit_tests
 scripts/run_tests.sh build-asan -L unit -j 4
-echo "== all tests"
-scripts/run_tests.sh build -j 2
+stage "all tests"
+scripts/run_tests.sh build -j 4
+stage "done"
--- a/tests/telemetry/log_event_test.cc
+++ b/tests/telemetry/log_event_test.cc
@@ -6,6 +6,8 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <chrono>
+#include <thread>
 
 namespace gooseberryrock::telemetry {
 namespace {
@@ -14,10 +16,11 @@
 using testing::HasSubstr;
 
 std::string Logged(LogLevel least, LogLevel level, const std::string& value) {
-  testing::internal::CaptureStderr();
+  testing::internal::CaptureStdout();
   InitializeLog(least);
   LogEvent(level, "test_event", {{"key", value}, {"last", "1"}});
-  return testing::internal::GetCapturedStderr();
+  FlushLog();
+  return testing::internal::GetCapturedStdout();
 }
 
 // Guards against a value of a caller that forges a field or an event.
@@ -39,6 +42,25 @@
   EXPECT_EQ(EscapeLogValue(""), "\"\"");
 }
 
+// Guards against a flood of one event that fills the log or hides others, and
+// against lines that are left out without a word.
+TEST(LogEventTest, FloodOfOneEventIsLimitedAndCounted) {
+  testing::internal::CaptureStdout();
+  InitializeLog(LogLevel::kInfo);
+  for (int i = 0; i < 1000; ++i) {
+    LogEvent(LogLevel::kInfo, "flood", {{"n", std::to_string(i)}});
+  }
+  LogEvent(LogLevel::kInfo, "other", {});
+  FlushLog();
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  LogEvent(LogLevel::kInfo, "flood", {{"n", "last"}});
+  FlushLog();
+  const std::string text = testing::internal::GetCapturedStdout();
+  EXPECT_LT(std::count(text.begin(), text.end(), '\n'), 100);
+  EXPECT_THAT(text, HasSubstr("event=other"));
+  EXPECT_THAT(text, HasSubstr("n=last suppressed=9"));
+}
+
 // Guards against a log level of the settings that has no effect.
 TEST(LogEventTest, LevelComesFromSettings) {
   EXPECT_EQ(Logged(ParseLogLevel("warning").value(), LogLevel::kInfo, "x"), "");
--- a/tests/telemetry/metrics_test.cc
+++ b/tests/telemetry/metrics_test.cc
@@ -177,7 +177,7 @@
 
 // Guards against a metric that the operators' page does not explain.
 TEST(MetricsTest, OperationsPageNamesEachMetric) {
-  std::ifstream in(GOOSEBERRYROCK_SOURCE_DIR "/docs/operations.md");
+  std::ifstream in(GOOSEBERRYROCK_SOURCE_DIR "/docs/OPERATIONS.md");
   const std::string text((std::istreambuf_iterator<char>(in)), {});
   std::istringstream lines(RenderMetrics(Metrics()));
   for (std::string line; std::getline(lines, line);) {
