entry, control: split the long files along the way of a request

Change: attempts, servers and the outcome's log line in files of their own; the operator's calls on routes apart from the node. No change of behaviour.

--- a/libs/control/src/control_node.cc
+++ b/libs/control/src/control_node.cc
@@ -24,9 +24,6 @@
 #include "gooseberryrock/peer/peer_socket.h"
 #include "gooseberryrock/proto/binary_codec.h"
 #include "gooseberryrock/proto/malformed_message_error.h"
-#include "gooseberryrock/routes/compressed_text.h"
-#include "gooseberryrock/routes/route_error.h"
-#include "gooseberryrock/routes/validate_routes.h"
 #include "gooseberryrock/telemetry/log_event.h"
 #include "gooseberryrock/transport/exchange.h"
 #include "gooseberryrock/transport/io_thread.h"
@@ -34,6 +31,7 @@
 #include "gooseberryrock/transport/worker_pool.h"
 #include "peer.pb.h"
 #include "registry.h"
+#include "route_calls.h"
 
 namespace gooseberryrock::control {
 
@@ -47,8 +45,6 @@
 // The membership is checked this often, so that a VM with a new disk is a voter
 // again well within the 4 s that the users allow.
 constexpr Duration kRepairInterval = std::chrono::milliseconds(250);
-// Callers go on to another VM after a second without an answer.
-constexpr Duration kCallTimeout = std::chrono::milliseconds(900);
 // This VM hears of all changes while it is in contact with the leader: longer
 // than an election.
 constexpr Duration kContactTime = std::chrono::milliseconds(1500);
@@ -137,7 +133,9 @@
           socket->Send(to, peer::FrameKind::kForwardReply,
                        it.SerializeAsString());
         },
-        [this](const proto::ForwardRequest& /*call*/) { return ReadRoutes(); });
+        [this](const proto::ForwardRequest& /*call*/) {
+          return StoredRoutesReply();
+        });
     {
       std::lock_guard lock(frame_mutex);
       started = true;
@@ -190,9 +188,10 @@
       registry.Withdraw(*withdraw, peers.Vms(), BootTime());
       exchange->Respond(dialect.accepted());
     } else if (const auto* put = std::get_if<PutRoutesCall>(&call)) {
-      RunCall(std::move(exchange), [this, put = *put] { return Put(put); });
+      RunCall(std::move(exchange),
+              [this, put = *put] { return PutRoutes(RouteParts(), put); });
     } else if (std::holds_alternative<ReadRoutesCall>(call)) {
-      RunCall(std::move(exchange), [this] { return Read(); });
+      RunCall(std::move(exchange), [this] { return ReadRoutes(RouteParts()); });
     } else if (const auto* malformed = std::get_if<MalformedCall>(&call)) {
       telemetry::LogEvent(LogLevel::kWarning, "call_malformed",
                           {{"error", malformed->error}});
@@ -230,58 +229,12 @@
     }
   }
 
-  transport::Response Put(const PutRoutesCall& call) {
-    std::string problem;
-    try {
-      const auto problems =
-          routes::ValidateRoutes(dialect.read_routes(call.text));
-      if (!problems.empty()) {
-        problem = "route '" + problems.front().route +
-                  "': " + problems.front().detail;
-      }
-    } catch (const routes::RouteError& e) {
-      problem = e.what();
-    }
-    if (!problem.empty()) {
-      telemetry::LogEvent(
-          LogLevel::kWarning, "routes_refused",
-          {{"version", std::to_string(call.version)}, {"error", problem}});
-      return dialect.invalid(problem);
-    }
-    proto::ForwardRequest request;
-    auto& document = *request.mutable_put_routes()->mutable_document();
-    document.set_version(call.version);
-    document.set_compressed_text(routes::CompressText(call.text));
-    const CallResult result = client->Call(std::move(request), kCallTimeout);
-    const bool stored =
-        result.status == CallStatus::kDone && result.reply.has_put_routes();
-    telemetry::LogEvent(
-        stored ? LogLevel::kInfo : LogLevel::kWarning,
-        stored ? "routes_stored" : "routes_unclear",
-        {{"version", std::to_string(call.version)},
-         {"newest", std::to_string(result.reply.put_routes().version())},
-         {"leader", log->Status().leader.value}});
-    return stored ? dialect.accepted() : dialect.unclear();
-  }
-
-  transport::Response Read() {
-    proto::ForwardRequest request;
-    request.mutable_read_routes();
-    const CallResult result = client->Call(std::move(request), kCallTimeout);
-    if (result.status != CallStatus::kDone || !result.reply.has_routes() ||
-        result.reply.routes().version() == 0) {
-      telemetry::LogEvent(LogLevel::kWarning, "routes_read_unclear",
-                          {{"leader", log->Status().leader.value}});
-      return dialect.unclear();
-    }
-    return dialect.routes(
-        routes::DecompressText(result.reply.routes().compressed_text()));
-  }
+  RouteCallParts RouteParts() { return {dialect, *client, *log}; }
 
   // The replicated log.
 
   // On the log's thread, which owns `state`.
-  std::string ReadRoutes() const {
+  std::string StoredRoutesReply() const {
     proto::ForwardReply reply;
     reply.mutable_routes()->set_version(state.routes.version);
     reply.mutable_routes()->set_compressed_text(state.routes.compressed_text);
--- a/libs/entry/src/entry_shard.h
+++ b/libs/entry/src/entry_shard.h
@@ -95,7 +95,6 @@
   // Removes the flight and its share in the server's stats.
   Flight End(AttemptKey key);
   void Finish(ActiveNumber number, relay::Outcome outcome);
-  void LogOutcome(const Active& active, const relay::Outcome& outcome);
   void SetTimer(Active& active, std::optional<SteadyTime> at);
   void ArmTimer();
   void OnTimer();
--- /dev/null
+++ b/libs/entry/src/outcome_log.cc
@@ -0,0 +1,85 @@
+// The log line of a request that did not go as planned.
+
+#include "outcome_log.h"
+
+#include <chrono>
+#include <variant>
+
+#include "gooseberryrock/base/clock.h"
+#include "gooseberryrock/relay/request_state.h"
+#include "gooseberryrock/telemetry/log_event.h"
+
+namespace gooseberryrock::entry {
+
+namespace {
+
+using telemetry::LogLevel;
+
+const char* ReasonName(relay::RefusalReason reason) {
+  switch (reason) {
+    case relay::RefusalReason::kNoServer:
+      return "no_server";
+    case relay::RefusalReason::kShardsUnavailable:
+      return "shards_unavailable";
+    case relay::RefusalReason::kOverloaded:
+      return "overloaded";
+    case relay::RefusalReason::kServersRefused:
+      return "servers_refused";
+    case relay::RefusalReason::kNotInTime:
+      return "not_in_time";
+  }
+  return "unknown";
+}
+
+const char* ReasonName(relay::FailureReason reason) {
+  switch (reason) {
+    case relay::FailureReason::kTimeout:
+      return "timeout";
+    case relay::FailureReason::kConnectionLost:
+      return "connection_lost";
+    case relay::FailureReason::kTooFewShards:
+      return "too_few_shards";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+std::string Milliseconds(Duration duration) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+void LogOutcome(const std::string& request_id,
+                const relay::RequestState& state,
+                const relay::Outcome& outcome) {
+  const std::string elapsed = Milliseconds(BootTime() - state.received);
+  if (const auto* refused = std::get_if<relay::RefusedOutcome>(&outcome)) {
+    telemetry::LogEvent(LogLevel::kWarning, "request_refused",
+                        {{"request", request_id},
+                         {"route", state.route->name},
+                         {"reason", ReasonName(refused->reason)},
+                         {"retry_after_ms", Milliseconds(refused->retry_after)},
+                         {"elapsed_ms", elapsed}});
+  } else if (const auto* failed = std::get_if<relay::FailedOutcome>(&outcome)) {
+    telemetry::LogEvent(LogLevel::kWarning, "request_failed",
+                        {{"request", request_id},
+                         {"route", state.route->name},
+                         {"reason", ReasonName(failed->reason)},
+                         {"answered", std::to_string(state.parts_answered)},
+                         {"elapsed_ms", elapsed}});
+  } else if (const auto* gathered =
+                 std::get_if<relay::GatheredOutcome>(&outcome)) {
+    if (gathered->missing_shards > 0) {
+      telemetry::LogEvent(
+          LogLevel::kInfo, "answer_partial",
+          {{"request", request_id},
+           {"route", state.route->name},
+           {"missing", std::to_string(gathered->missing_shards)},
+           {"settled_early", gathered->settled_early ? "true" : "false"},
+           {"elapsed_ms", elapsed}});
+    }
+  }
+}
+
+}  // namespace gooseberryrock::entry
--- a/libs/entry/src/server_links.cc
+++ b/libs/entry/src/server_links.cc
@@ -32,8 +32,7 @@
 
 ServerLinks::~ServerLinks() = default;
 
-ServerLinks::Link& ServerLinks::LinkOf(relay::ServicePool& /*pool*/,
-                                       const relay::PoolServer& server) {
+ServerLinks::Link& ServerLinks::LinkOf(const relay::PoolServer& server) {
   auto& link = links_[server.id];
   if (!link) {
     link = std::make_unique<Link>();
@@ -46,7 +45,7 @@
                                    relay::PoolServer& server,
                                    Rank rank,
                                    AttemptKey key) {
-  Link& link = LinkOf(pool, server);
+  Link& link = LinkOf(server);
   if (!link.idle.empty()) {
     ConnectionPtr connection = std::move(link.idle.back());
     link.idle.pop_back();
@@ -82,7 +81,7 @@
 }
 
 void ServerLinks::Open(relay::ServicePool& pool, relay::PoolServer& server) {
-  Link& link = LinkOf(pool, server);
+  Link& link = LinkOf(server);
   ++link.opening;
   ++server.connections;
   auto connection = std::make_shared<transport::ServerConnection>(context_);
@@ -117,7 +116,7 @@
 void ServerLinks::Offer(relay::ServicePool& pool,
                         relay::PoolServer& server,
                         const ConnectionPtr& connection) {
-  Link& link = LinkOf(pool, server);
+  Link& link = LinkOf(server);
   if (!link.waiting.empty()) {
     const AttemptKey key = link.waiting.begin()->second;
     link.waiting.erase(link.waiting.begin());
@@ -179,7 +178,7 @@
   }
   connection->Close();
   --found->connections;
-  Link& link = LinkOf(pool, *found);
+  Link& link = LinkOf(*found);
   if (link.waiting.size() > link.opening &&
       found->connections < found->connection_share) {
     Open(pool, *found);
@@ -189,7 +188,7 @@
 void ServerLinks::Maintain(relay::ServicePool& pool,
                            relay::PoolServer& server,
                            uint32_t ready) {
-  Link& link = LinkOf(pool, server);
+  Link& link = LinkOf(server);
   const auto close_one = [&] {
     link.idle.front()->Close();
     link.idle.erase(link.idle.begin());
--- a/libs/entry/src/server_links.h
+++ b/libs/entry/src/server_links.h
@@ -75,7 +75,7 @@
  private:
   struct Link;
 
-  Link& LinkOf(relay::ServicePool& pool, const relay::PoolServer& server);
+  Link& LinkOf(const relay::PoolServer& server);
   void Open(relay::ServicePool& pool, relay::PoolServer& server);
   void OnOpened(relay::ServicePool& pool,
                 const BackendServerId& id,
