control: one handler of directory frames, one numbering of starts

Cause: the registry of control VMs and the directory of the product's own nodes handled deltas, digests and pulls in two copies; the incarnation of a process was computed in three places. Change: HandleDirectoryFrame and IncarnationOfThisStart serve all. No change of behaviour.

--- a/libs/control/src/control_node.cc
+++ b/libs/control/src/control_node.cc
@@ -21,6 +21,7 @@
 #include "gooseberryrock/control/control_settings.h"
 #include "gooseberryrock/control/replicated_log.h"
 #include "gooseberryrock/peer/frame.h"
+#include "gooseberryrock/peer/incarnation.h"
 #include "gooseberryrock/peer/peer_socket.h"
 #include "gooseberryrock/proto/binary_codec.h"
 #include "gooseberryrock/proto/malformed_message_error.h"
@@ -61,12 +62,6 @@
 constexpr Duration kStopTime = std::chrono::seconds(2);
 constexpr Duration kStopCheck = std::chrono::milliseconds(20);
 
-uint64_t Incarnation() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<uint64_t>(
-      std::chrono::duration_cast<std::chrono::microseconds>(now).count());
-}
-
 peer::PeerSocketOptions SocketOptions(const ControlSettings& settings,
                                       uint64_t incarnation) {
   peer::PeerSocketOptions options;
@@ -108,7 +103,7 @@
   Impl(const ControlSettings& node_settings, const ControlDialect& node_dialect)
       : settings(node_settings),
         dialect(node_dialect),
-        incarnation(Incarnation()),
+        incarnation(peer::IncarnationOfThisStart()),
         peers(settings.node, settings.failure_domain),
         registry(
             settings.node,
--- a/libs/control/src/registry.cc
+++ b/libs/control/src/registry.cc
@@ -82,42 +82,7 @@
 
 void Registry::OnFrame(const peer::PeerFrame& frame, SteadyTime now) {
   std::lock_guard lock(mutex_);
-  const NodeId& from = frame.sender;
-  const auto send_pull = [&](const directory::DirectoryPull& pull) {
-    send_(from, peer::FrameKind::kDirectoryPull,
-          proto::ToMessage(pull).SerializeAsString());
-  };
-  if (frame.kind == peer::FrameKind::kDirectoryDelta) {
-    const auto delta =
-        proto::FromMessage(proto::Parse<proto::DirectoryDelta>(frame.body));
-    directory::MergeDelta(directory_, delta, from, now);
-    if (auto pull = directory::OnChangeSpan(exchange_, from, frame.incarnation,
-                                            delta.from, delta.to)) {
-      send_pull(*pull);
-    }
-  } else if (frame.kind == peer::FrameKind::kDirectoryDigest) {
-    const auto answer = directory::OnDigest(
-        directory_,
-        proto::FromMessage(proto::Parse<proto::DirectoryDigest>(frame.body)));
-    if (answer.digest) {
-      send_(from, peer::FrameKind::kDirectoryDigest,
-            proto::ToMessage(*answer.digest).SerializeAsString());
-    }
-    if (answer.pull) {
-      send_pull(*answer.pull);
-    }
-  } else if (frame.kind == peer::FrameKind::kDirectoryPull) {
-    const auto answer = directory::OnPull(
-        directory_, exchange_, from,
-        proto::FromMessage(proto::Parse<proto::DirectoryPull>(frame.body)));
-    for (const auto& delta : answer.deltas) {
-      send_(from, peer::FrameKind::kDirectoryDelta,
-            proto::ToMessage(delta).SerializeAsString());
-    }
-    if (answer.pull) {
-      send_pull(*answer.pull);
-    }
-  }
+  HandleDirectoryFrame(directory_, exchange_, frame, send_, now);
 }
 
 void Registry::OnSentCount(const peer::PeerFrame& frame, uint64_t count) {
--- a/libs/control/src/registry.h
+++ b/libs/control/src/registry.h
@@ -12,6 +12,7 @@
 #include "gooseberryrock/base/ids.h"
 #include "gooseberryrock/base/time.h"
 #include "gooseberryrock/control/control_call.h"
+#include "gooseberryrock/control/directory_frames.h"
 #include "gooseberryrock/directory/directory.h"
 #include "gooseberryrock/directory/directory_exchange.h"
 #include "gooseberryrock/peer/frame_kind.h"
@@ -30,9 +31,6 @@
 // All functions may be called on any thread.
 class Registry {
  public:
-  using FrameSender =
-      std::function<void(const NodeId&, peer::FrameKind, std::string body)>;
-
   // `incarnation` is that of this process; change counts begin anew with it.
   Registry(NodeId self, uint64_t incarnation, FrameSender send);
 
--- a/libs/entry/src/control_link.cc
+++ b/libs/entry/src/control_link.cc
@@ -14,6 +14,7 @@
 #include "gooseberryrock/base/clock.h"
 #include "gooseberryrock/entry/server_book.h"
 #include "gooseberryrock/peer/frame.h"
+#include "gooseberryrock/peer/incarnation.h"
 #include "gooseberryrock/peer/peer_socket.h"
 #include "gooseberryrock/proto/binary_codec.h"
 #include "gooseberryrock/proto/convert_directory.h"
@@ -51,19 +52,12 @@
   return vm.current && vm.answered_at && now - *vm.answered_at < kSilence;
 }
 
-// The node's id rises with each start: microseconds since 1970.
-uint64_t Incarnation() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<uint64_t>(
-      std::chrono::duration_cast<std::chrono::microseconds>(now).count());
-}
-
 peer::PeerSocketOptions SocketOptions(const EntrySettings& settings) {
   peer::PeerSocketOptions options;
   options.cluster = settings.cluster;
   options.cluster_key = settings.cluster_key;
   options.self = {settings.node, settings.node.value, settings.peer_port};
-  options.incarnation = Incarnation();
+  options.incarnation = peer::IncarnationOfThisStart();
   return options;
 }
 
--- a/libs/node/src/directory_keeper.cc
+++ b/libs/node/src/directory_keeper.cc
@@ -7,6 +7,7 @@
 #include <set>
 #include <utility>
 
+#include "gooseberryrock/control/directory_frames.h"
 #include "gooseberryrock/directory/merge_record.h"
 #include "gooseberryrock/directory/ownership.h"
 #include "gooseberryrock/node/query_engine.h"
@@ -76,37 +77,8 @@
 
 void DirectoryKeeper::OnFrame(const peer::PeerFrame& frame, SteadyTime now) {
   std::lock_guard lock(mutex_);
-  const NodeId& from = frame.sender;
-  if (frame.kind == peer::FrameKind::kDirectoryDelta) {
-    const auto delta =
-        proto::FromMessage(proto::Parse<proto::DirectoryDelta>(frame.body));
-    Publish(directory::MergeDelta(directory_, delta, from, now));
-    if (auto pull = directory::OnChangeSpan(exchange_, from, frame.incarnation,
-                                            delta.from, delta.to)) {
-      SendPull(from, *pull);
-    }
-  } else if (frame.kind == peer::FrameKind::kDirectoryDigest) {
-    const auto answer = directory::OnDigest(
-        directory_,
-        proto::FromMessage(proto::Parse<proto::DirectoryDigest>(frame.body)));
-    if (answer.digest) {
-      send_(from, peer::FrameKind::kDirectoryDigest,
-            proto::ToMessage(*answer.digest).SerializeAsString());
-    }
-    if (answer.pull) {
-      SendPull(from, *answer.pull);
-    }
-  } else if (frame.kind == peer::FrameKind::kDirectoryPull) {
-    const auto answer = directory::OnPull(
-        directory_, exchange_, from,
-        proto::FromMessage(proto::Parse<proto::DirectoryPull>(frame.body)));
-    for (const auto& delta : answer.deltas) {
-      SendDelta(from, delta);
-    }
-    if (answer.pull) {
-      SendPull(from, *answer.pull);
-    }
-  }
+  Publish(
+      control::HandleDirectoryFrame(directory_, exchange_, frame, send_, now));
 }
 
 void DirectoryKeeper::OnHeartbeat(const NodeId& peer,
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -32,6 +32,7 @@
 #include "gooseberryrock/node/query_engine.h"
 #include "gooseberryrock/node/service_views.h"
 #include "gooseberryrock/peer/frame.h"
+#include "gooseberryrock/peer/incarnation.h"
 #include "gooseberryrock/peer/peer_socket.h"
 #include "gooseberryrock/peer/peer_stats.h"
 #include "gooseberryrock/proto/binary_codec.h"
@@ -51,11 +52,7 @@
 constexpr uint64_t kIdsPerMicrosecond = 16;
 
 uint64_t Incarnation() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<uint64_t>(
-             std::chrono::duration_cast<std::chrono::microseconds>(now)
-                 .count()) *
-         kIdsPerMicrosecond;
+  return peer::IncarnationOfThisStart() * kIdsPerMicrosecond;
 }
 
 std::string AddressText(const settings::Address& address) {
