transport: a caller that goes on with a header after its refusal is cut off soon

Change: 4 MiB and a little are dropped only after a body that is too large, 256 KiB otherwise; the fixture's members in the right order. No check changed.

--- a/libs/transport/src/web_session.cc
+++ b/libs/transport/src/web_session.cc
@@ -4,6 +4,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -23,9 +24,11 @@
 // not lost with the bytes that were not read.
 constexpr Duration kLingerTimeout = std::chrono::seconds(2);
 
-// A caller that goes on sending beyond this is cut off. Enough for the largest
-// call of an operator (4 MiB) to get its answer.
-constexpr size_t kMostDroppedBytes = size_t{5} << 20U;
+// A caller that goes on sending beyond this after the response is cut off. A
+// body that is too large may be the largest call of an operator (4 MiB), which
+// has to get its answer; a header has no reason to go on.
+constexpr size_t kMostDroppedBody = (size_t{4} << 20U) + (size_t{64} << 10U);
+constexpr size_t kMostDropped = size_t{256} << 10U;
 
 http::status StatusOf(const ErrorCode& ec) {
   if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
@@ -208,6 +211,9 @@
 }
 
 void WebSession::RespondToError(http::status status) {
+  if (status == http::status::payload_too_large) {
+    most_dropped_ = kMostDroppedBody;
+  }
   state_ = State::kBusy;
   Response response(status, 11);
   Respond(std::move(response), /*caller_keeps_alive=*/false);
@@ -253,6 +259,7 @@
 
 void WebSession::Linger() {
   state_ = State::kLingering;
+  most_dropped_ = std::max(most_dropped_, kMostDropped);
   deadline_ = BootTime() + kLingerTimeout;
   ErrorCode ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
@@ -266,7 +273,7 @@
       buffer_.prepare(kChunk),
       [self = shared_from_this()](const ErrorCode& ec, size_t n) {
         self->dropped_bytes_ += n;
-        if (ec || self->dropped_bytes_ > kMostDroppedBytes) {
+        if (ec || self->dropped_bytes_ > self->most_dropped_) {
           self->Close();
         } else if (self->state_ != State::kClosed) {
           self->ReadLeftover();
--- a/libs/transport/src/web_session.h
+++ b/libs/transport/src/web_session.h
@@ -93,6 +93,8 @@
   Response response_;
   // Bytes that were read and dropped after the last response.
   size_t dropped_bytes_ = 0;
+  // More than this end the connection.
+  size_t most_dropped_ = 0;
 };
 
 }  // namespace gooseberryrock::transport
--- a/tests/transport/server_connection_test.cc
+++ b/tests/transport/server_connection_test.cc
@@ -52,8 +52,9 @@
     return Call(server);
   }
 
-  std::shared_ptr<ServerConnection> connection_;
+  // Outlives the connection, which uses its context.
   IoThread thread_;
+  std::shared_ptr<ServerConnection> connection_;
 };
 
 // Guards against a reply that was cut and passes for a whole one.
