--- a/libs/entry/include/gooseberryrock/entry/dialect.h
+++ b/libs/entry/include/gooseberryrock/entry/dialect.h
@@ -33,7 +33,7 @@
   transport::Response (*failed)(const relay::FailedOutcome& outcome);
   // No route leads to the request's place.
   transport::Response (*no_route)();
-  // Answers the balancer's check; null for a request that is none.
+  // Whether the request is the balancer's check.
   bool (*is_ready_check)(const transport::Request& request);
 
   // Throws RouteError.
--- a/libs/relay/include/gooseberryrock/relay/request_state.h
+++ b/libs/relay/include/gooseberryrock/relay/request_state.h
@@ -55,8 +55,6 @@
   // Outlives the state.
   const routes::Route* route = nullptr;
   SteadyTime received;
-  // The caller gives up then.
-  SteadyTime caller_deadline;
   // A gathered answer that covers enough is given then.
   SteadyTime settle_at;
   // The final answer is given then at the latest.
@@ -75,7 +73,6 @@
   // The reply of this attempt is passed on when no better one comes; 0 is none.
   AttemptNumber failed_reply = 0;
   bool connection_lost = false;
-  bool hedged = false;
   bool finished = false;
 
   bool IsGathered() const {
--- a/libs/relay/src/choose_server.cc
+++ b/libs/relay/src/choose_server.cc
@@ -7,6 +7,7 @@
 #include "gooseberryrock/relay/pool_server.h"
 #include "gooseberryrock/relay/relay_policy.h"
 #include "gooseberryrock/relay/service_pool.h"
+#include "scale.h"
 
 namespace gooseberryrock::relay {
 
@@ -30,10 +31,6 @@
          now >= server.stats.next_probe;
 }
 
-Duration Scale(Duration duration, double factor) {
-  return std::chrono::duration_cast<Duration>(duration * factor);
-}
-
 double Slots(const PoolServer& server) {
   return std::max<double>(server.slots, 1);
 }
--- a/libs/relay/src/request_machine.cc
+++ b/libs/relay/src/request_machine.cc
@@ -10,6 +10,7 @@
 #include "gooseberryrock/relay/gather.h"
 #include "gooseberryrock/relay/relay_policy.h"
 #include "gooseberryrock/relay/server_reply.h"
+#include "scale.h"
 
 namespace gooseberryrock::relay {
 
@@ -52,6 +53,13 @@
                       state.route->target_latency);
 }
 
+Selection SelectionOf(const RequestState& state) {
+  Selection selection;
+  selection.rank = state.route->rank;
+  selection.target_latency = state.route->target_latency;
+  return selection;
+}
+
 // Gives the part one more attempt. Returns false when there is no server.
 bool AddAttempt(RequestState& state,
                 size_t index,
@@ -61,9 +69,7 @@
                 SteadyTime now,
                 RequestEffects& effects) {
   RequestPart& part = state.parts[index];
-  Selection selection;
-  selection.rank = state.route->rank;
-  selection.target_latency = state.route->target_latency;
+  Selection selection = SelectionOf(state);
   selection.excluded = part.tried;
   selection.only_healthy = reach == Reach::kHealthyServers;
   const auto server =
@@ -245,17 +251,9 @@
       AddAttempt(state, index, AttemptCause::kHedge, Reach::kHealthyServers,
                  context, now, effects)) {
     query::SpendBudget(part.pool->budget);
-    state.hedged = true;
   }
 }
 
-Selection SelectionOf(const RequestState& state) {
-  Selection selection;
-  selection.rank = state.route->rank;
-  selection.target_latency = state.route->target_latency;
-  return selection;
-}
-
 void SkipPart(RequestState& state, RequestPart& part) {
   part.skipped = true;
   FailPart(state, part);
@@ -264,9 +262,9 @@
 // Leaves out the shards that do not respond, and the busiest of those that are
 // expected to take too long, as far as the least coverage allows.
 void SkipShards(RequestState& state, RelayContext context, SteadyTime now) {
-  const Duration most = std::chrono::duration_cast<Duration>(
-      state.route->target_latency *
-      context.policy.fill_share[RankIndex(state.route->rank)]);
+  const Duration most =
+      Scale(state.route->target_latency,
+            context.policy.fill_share[RankIndex(state.route->rank)]);
   const Selection selection = SelectionOf(state);
   std::vector<std::pair<Duration, RequestPart*>> busy;
   for (RequestPart& it : state.parts) {
@@ -309,8 +307,8 @@
   }
   // Callers that are refused at the same time come back at different times.
   std::uniform_real_distribution<double> spread(1.0, 2.0);
-  return std::chrono::duration_cast<Duration>(
-      std::max(longest - left, kLeastOverloadWait) * spread(context.random));
+  return Scale(std::max(longest - left, kLeastOverloadWait),
+               spread(context.random));
 }
 
 }  // namespace
@@ -323,7 +321,6 @@
   RequestState state;
   state.route = &route;
   state.received = received;
-  state.caller_deadline = caller_deadline;
   state.settle_at = received + route.target_latency - policy.answer_margin;
   state.final_at = std::min(caller_deadline - policy.answer_margin,
                             received + route.timeout);
--- a/libs/relay/src/service_pool.cc
+++ b/libs/relay/src/service_pool.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "gooseberryrock/relay/relay_policy.h"
+#include "scale.h"
 
 namespace gooseberryrock::relay {
 
@@ -13,10 +14,6 @@
 // The quantiles are computed anew after this time.
 constexpr Duration kRefreshInterval = std::chrono::milliseconds(100);
 
-Duration Scale(Duration duration, double factor) {
-  return std::chrono::duration_cast<Duration>(duration * factor);
-}
-
 }  // namespace
 
 ServicePool MakePool(const ServiceName& service, const RelayPolicy& policy) {
