directory, entry: no connection to a server whose limit is used up by other nodes

Cause: with more entry nodes than a server's connection limit, a node without a share took one all the same, and the nodes left without were always those of the last failure domain. On the grown parts site (85 nodes, limits of 74) servers reset 34,757 connections, and half of all subqueries opened a new one. Ruled out: restarts (85 starts of 85 nodes), idle timeouts of the servers (13,452 new connections remain). Change: a share of zero is kept; which nodes go without differs for each server; a service of which a node would reach no server keeps one. Connections to other failure domains are opened ahead only where the limit allows two for each node.

--- a/libs/directory/include/gooseberryrock/directory/connection_share.h
+++ b/libs/directory/include/gooseberryrock/directory/connection_share.h
@@ -16,10 +16,14 @@
 // domain first. Of the rest, the server's failure domain gets at least two
 // thirds, and each place there at least twice as much as one elsewhere, but for
 // rounding. A place outside the reservation gets none.
+//
+// Where there are fewer connections than places, `rotation` says which places
+// get none; servers with different ones leave out different places.
 uint32_t ConnectionShare(uint32_t limit,
                          const Reservation& reservation,
                          const FailureDomain& server_domain,
-                         const ReservedPlace& place);
+                         const ReservedPlace& place,
+                         uint64_t rotation = 0);
 
 }  // namespace gooseberryrock::directory
 
--- a/libs/directory/src/connection_share.cc
+++ b/libs/directory/src/connection_share.cc
@@ -52,12 +52,23 @@
                   rest * weight / (weight + places.outside));
 }
 
+// The share when there are not more connections than places.
+uint32_t ScarceShare(uint32_t limit, const Places& places, uint64_t rotation) {
+  if (places.index < places.inside) {
+    return (places.index + rotation) % places.inside < limit ? 1 : 0;
+  }
+  const uint64_t index = places.index - places.inside;
+  const uint64_t rest = limit > places.inside ? limit - places.inside : 0;
+  return (index + rotation) % places.outside < rest ? 1 : 0;
+}
+
 }  // namespace
 
 uint32_t ConnectionShare(uint32_t limit,
                          const Reservation& reservation,
                          const FailureDomain& server_domain,
-                         const ReservedPlace& place) {
+                         const ReservedPlace& place,
+                         uint64_t rotation) {
   auto it = reservation.find(place.domain);
   if (it == reservation.end() || place.position >= it->second) {
     return 0;
@@ -65,7 +76,7 @@
   const Places places = CountPlaces(reservation, server_domain, place);
   const uint64_t total = places.inside + places.outside;
   if (limit <= total) {
-    return places.index < limit ? 1 : 0;
+    return ScarceShare(limit, places, rotation);
   }
   const uint64_t rest = limit - total;
   const bool is_inside = places.index < places.inside;
--- a/libs/entry/src/entry_node.cc
+++ b/libs/entry/src/entry_node.cc
@@ -56,6 +56,7 @@
       all.push_back(threads.back().get());
       shards.push_back(std::make_unique<EntryShard>(*threads.back(), dialect,
                                                     relay::RelayPolicy(), n));
+      shards.back()->PutPlan({{}, {settings.failure_domain, 0}});
     }
     callers.emplace(
         all, settings.caller_endpoint, transport::WebLimits(),
--- a/libs/entry/src/entry_shard.cc
+++ b/libs/entry/src/entry_shard.cc
@@ -90,8 +90,9 @@
 
 bool EntryShard::KnowsServers(const routes::Route& route) {
   const auto has_usable = [](const relay::ServicePool* pool) {
-    return std::any_of(pool->servers.begin(), pool->servers.end(),
-                       [](const relay::PoolServer& it) { return it.usable; });
+    return std::any_of(
+        pool->servers.begin(), pool->servers.end(),
+        [](const relay::PoolServer& it) { return it.TakesWork(); });
   };
   const auto* weighted = std::get_if<routes::WeightedTarget>(&route.target);
   if (weighted != nullptr) {
--- a/libs/entry/src/entry_shard.h
+++ b/libs/entry/src/entry_shard.h
@@ -100,8 +100,10 @@
   void OnTimer();
   void Sweep();
   void PutServer(const ServerChange& change);
-  void ApplyShares();
-  uint32_t ShareOf(const directory::ServerRecord& record) const;
+  // Divides the connection limit of `server` by the plan.
+  void ApplyShare(relay::PoolServer& server);
+  void ApplyShares(relay::ServicePool& pool);
+  void ApplyAllShares();
 
   transport::IoThread& thread_;
   const Dialect& dialect_;
--- a/libs/entry/src/entry_shard_servers.cc
+++ b/libs/entry/src/entry_shard_servers.cc
@@ -7,6 +7,7 @@
 #include "entry_shard.h"
 #include "entry_shard_state.h"
 #include "gooseberryrock/base/clock.h"
+#include "gooseberryrock/base/hash.h"
 #include "gooseberryrock/directory/connection_share.h"
 #include "gooseberryrock/telemetry/log_event.h"
 #include "gooseberryrock/transport/io_thread.h"
@@ -20,6 +21,18 @@
 // Connections that are kept open ahead to each server.
 constexpr uint32_t kReadyOwnDomain = 2;
 constexpr uint32_t kReadyOtherDomain = 1;
+// Connections to servers of other domains are kept open ahead only where the
+// limit allows as many for each node: with fewer they would take those that the
+// nodes of the server's own domain need.
+constexpr uint32_t kPlentyForEachNode = 2;
+
+uint32_t CountNodes(const directory::Reservation& reservation) {
+  uint32_t nodes = 0;
+  for (const auto& [domain, n] : reservation) {
+    nodes += n;
+  }
+  return nodes;
+}
 
 }  // namespace
 
@@ -40,10 +53,7 @@
   for (auto& [service, pool] : pools_) {
     for (relay::PoolServer& it : pool.servers) {
       const bool ahead = it.usable && it.stats.failures_in_row == 0;
-      links_.Maintain(pool, it,
-                      !ahead          ? 0
-                      : it.own_domain ? kReadyOwnDomain
-                                      : kReadyOtherDomain);
+      links_.Maintain(pool, it, ahead ? it.ready_connections : 0);
     }
     std::erase_if(pool.servers, [](const relay::PoolServer& it) {
       return !it.usable && it.connections == 0 && it.queued == 0 &&
@@ -56,7 +66,7 @@
   thread_.Post([this, table = std::move(table)] {
     std::lock_guard lock(mutex_);
     table_ = table;
-    ApplyShares();
+    ApplyAllShares();
     RetryParked();
   });
 }
@@ -75,7 +85,7 @@
   thread_.Post([this, plan = std::move(plan)] {
     std::lock_guard lock(mutex_);
     plan_ = plan;
-    ApplyShares();
+    ApplyAllShares();
   });
 }
 
@@ -122,15 +132,22 @@
   server->host = record.host;
   server->port = record.port;
   server->slots = record.slots;
-  server->own_domain = record.failure_domain == plan_.place.domain;
-  server->connection_share = ShareOf(record);
   server->usable = change.usable;
   if (!change.usable) {
     links_.Maintain(pool, *server, 0);
   }
+  ApplyShares(pool);
 }
 
-uint32_t EntryShard::ShareOf(const directory::ServerRecord& record) const {
+void EntryShard::ApplyShare(relay::PoolServer& server) {
+  const directory::ServerRecord& record = records_.at(server.id);
+  server.own_domain = record.failure_domain == plan_.place.domain;
+  if (plan_.reservation.empty()) {
+    // How many nodes share the limit is not known yet.
+    server.connection_share = 1;
+    server.ready_connections = server.own_domain ? 1 : 0;
+    return;
+  }
   uint32_t limit = 1;
   if (table_) {
     auto it = table_->set.services.find(record.service);
@@ -139,17 +156,27 @@
     }
   }
   const uint32_t share = directory::ConnectionShare(
-      limit, plan_.reservation, record.failure_domain, plan_.place);
-  return share == 0 ? 1 : std::max(1U, share / shards_);
+      limit, plan_.reservation, record.failure_domain, plan_.place,
+      Hash64(record.id.value));
+  server.connection_share = share == 0 ? 0 : std::max(1U, share / shards_);
+  const bool plenty =
+      limit / kPlentyForEachNode >= CountNodes(plan_.reservation);
+  server.ready_connections = server.own_domain ? kReadyOwnDomain
+                             : plenty          ? kReadyOtherDomain
+                                               : 0;
 }
 
-void EntryShard::ApplyShares() {
+void EntryShard::ApplyShares(relay::ServicePool& pool) {
+  for (relay::PoolServer& it : pool.servers) {
+    ApplyShare(it);
+  }
+  relay::KeepOneReachable(
+      pool, Hash64(plan_.place.domain.value, plan_.place.position));
+}
+
+void EntryShard::ApplyAllShares() {
   for (auto& [service, pool] : pools_) {
-    for (relay::PoolServer& it : pool.servers) {
-      const directory::ServerRecord& record = records_.at(it.id);
-      it.own_domain = record.failure_domain == plan_.place.domain;
-      it.connection_share = ShareOf(record);
-    }
+    ApplyShares(pool);
   }
 }
 
--- a/libs/relay/include/gooseberryrock/relay/pool_server.h
+++ b/libs/relay/include/gooseberryrock/relay/pool_server.h
@@ -19,8 +19,11 @@
   bool own_domain = false;
   // Requests that the server runs at the same time.
   uint32_t slots = 1;
-  // Connections that this shard may hold to the server.
+  // Connections that this shard may hold to the server; without any it is left
+  // to other nodes.
   uint32_t connection_share = 1;
+  // Connections that are kept open before they are needed.
+  uint32_t ready_connections = 0;
   // Takes new work: announced as ready and not found to be another server.
   bool usable = true;
   // Of the connections, opening ones included, those that carry no request.
@@ -29,6 +32,9 @@
   // Attempts that wait for a connection.
   uint32_t queued = 0;
   ServerStats stats;
+
+  // Whether new work may go to the server.
+  bool TakesWork() const { return usable && connection_share > 0; }
 };
 
 }  // namespace gooseberryrock::relay
--- a/libs/relay/include/gooseberryrock/relay/service_pool.h
+++ b/libs/relay/include/gooseberryrock/relay/service_pool.h
@@ -41,6 +41,11 @@
 
 ServicePool MakePool(const ServiceName& service, const RelayPolicy& policy);
 
+// Lets the shard use one server when its shares of the connections leave it
+// none; which one depends on `seed`, so that nodes with different seeds take
+// different ones. Together they may exceed a limit by a few connections.
+void KeepOneReachable(ServicePool& pool, uint64_t seed);
+
 // Null when there is no such server.
 PoolServer* FindServer(ServicePool& pool, const BackendServerId& id);
 
--- a/libs/relay/src/choose_server.cc
+++ b/libs/relay/src/choose_server.cc
@@ -16,7 +16,7 @@
 bool IsCandidate(const PoolServer& server,
                  const Selection& selection,
                  SteadyTime now) {
-  if (!server.usable || server.connection_share == 0) {
+  if (!server.TakesWork()) {
     return false;
   }
   if (selection.only_healthy && IsSuspect(server.stats, now)) {
@@ -63,7 +63,7 @@
                            SteadyTime now) {
   Duration least = Duration::max();
   for (const PoolServer& it : pool.servers) {
-    if (it.usable && !IsSuspect(it.stats, now)) {
+    if (it.TakesWork() && !IsSuspect(it.stats, now)) {
       least = std::min(least, ExpectedTime(pool, it, policy, selection, now));
     }
   }
@@ -133,7 +133,7 @@
 bool IsUnavailable(const ServicePool& pool, SteadyTime now) {
   return std::all_of(
       pool.servers.begin(), pool.servers.end(), [now](const PoolServer& it) {
-        return !it.usable ||
+        return !it.TakesWork() ||
                (IsSuspect(it.stats, now) && it.stats.failures_in_row > 0);
       });
 }
--- a/libs/relay/src/request_machine.cc
+++ b/libs/relay/src/request_machine.cc
@@ -137,7 +137,7 @@
     }
     Duration soonest = Duration::max();
     for (const PoolServer& it : part.pool->servers) {
-      if (it.usable) {
+      if (it.TakesWork()) {
         soonest = std::min(soonest, it.stats.next_probe - now);
       }
     }
--- a/libs/relay/src/service_pool.cc
+++ b/libs/relay/src/service_pool.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "gooseberryrock/base/hash.h"
 #include "gooseberryrock/relay/relay_policy.h"
 #include "scale.h"
 
@@ -25,6 +26,24 @@
   return pool;
 }
 
+void KeepOneReachable(ServicePool& pool, uint64_t seed) {
+  PoolServer* first = nullptr;
+  uint64_t first_hash = 0;
+  for (PoolServer& it : pool.servers) {
+    if (it.TakesWork()) {
+      return;
+    }
+    const uint64_t hash = Hash64(it.id.value, seed);
+    if (it.usable && (first == nullptr || hash < first_hash)) {
+      first = &it;
+      first_hash = hash;
+    }
+  }
+  if (first != nullptr) {
+    first->connection_share = 1;
+  }
+}
+
 PoolServer* FindServer(ServicePool& pool, const BackendServerId& id) {
   auto it = std::find_if(pool.servers.begin(), pool.servers.end(),
                          [&](const PoolServer& n) { return n.id == id; });
--- a/tests/directory/connection_share_test.cc
+++ b/tests/directory/connection_share_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
 #include <random>
 #include <string>
 
@@ -70,6 +71,36 @@
   std::printf("reservations=20000 seed=1\n");
 }
 
+// Guards against nodes that can use none of a service's servers when there are
+// more nodes than connections to a server: 23 + 24 + 20 + 18 nodes and limits
+// of 74. Also against a limit that is exceeded then.
+TEST(ConnectionShareTest, ScarceConnectionsLeaveOutDifferentPlaces) {
+  const Reservation reservation = {
+      {{"a"}, 23}, {{"b"}, 24}, {{"c"}, 20}, {{"d"}, 18}};
+  constexpr uint32_t kLimit = 74;
+  std::mt19937_64 rng(1);
+  std::map<std::pair<std::string, uint32_t>, int> without;
+  constexpr int kServers = 200;
+  for (int n = 0; n < kServers; ++n) {
+    const uint64_t rotation = rng();
+    uint32_t sum = 0;
+    for (const auto& [domain, nodes] : reservation) {
+      for (uint32_t i = 0; i < nodes; ++i) {
+        const uint32_t share = ConnectionShare(
+            kLimit, reservation, kServerDomain, {domain, i}, rotation);
+        sum += share;
+        ASSERT_TRUE(share == 1 || domain != kServerDomain);
+        without[{domain.value, i}] += share == 0 ? 1 : 0;
+      }
+    }
+    ASSERT_EQ(sum, kLimit);
+  }
+  // 11 of the 62 places outside are left out each time, 18%.
+  for (const auto& [place, n] : without) {
+    EXPECT_LT(n, kServers * 0.35) << place.first << place.second;
+  }
+}
+
 // Today's till reports: seven nodes over three failure domains.
 TEST(ConnectionShareTest, ServesTodaysSizes) {
   const Shares shares = AllShares(100, {{{"a"}, 2}, {{"b"}, 3}, {{"c"}, 2}});
--- a/tests/relay/choose_server_test.cc
+++ b/tests/relay/choose_server_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <map>
+#include <set>
 #include <string>
 
 #include "gooseberryrock/relay/choose_server.h"
@@ -50,6 +51,34 @@
   EXPECT_NE(Choose(), "s-0");
 }
 
+// Guards against a server whose connections belong to other nodes that is given
+// work, and against a service without any server when the limits leave a node
+// none: 85 nodes and 74 connections to each server.
+TEST_F(ChooseServerTest, ServerWithoutConnectionsGetsNoWork) {
+  pool_.servers[0].connection_share = 0;
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_NE(Choose(), "s-0");
+  }
+  KeepOneReachable(pool_, 1);
+  EXPECT_EQ(pool_.servers[0].connection_share, 0U);
+  for (PoolServer& it : pool_.servers) {
+    it.connection_share = 0;
+  }
+  EXPECT_TRUE(IsUnavailable(pool_, kStart));
+  std::set<std::string> kept;
+  for (uint64_t seed = 0; seed < 20; ++seed) {
+    ServicePool pool = pool_;
+    KeepOneReachable(pool, seed);
+    EXPECT_FALSE(IsUnavailable(pool, kStart));
+    for (const PoolServer& it : pool.servers) {
+      if (it.TakesWork()) {
+        kept.insert(it.id.value);
+      }
+    }
+  }
+  EXPECT_EQ(kept.size(), 3U);
+}
+
 // Guards against one server that gets all the work of a lost one.
 TEST_F(ChooseServerTest, EqualServersShare) {
   pool_.servers[0].usable = false;
