entry, control: connections only to the control VMs that are asked

Cause: each entry node kept a connection to each control VM and each control VM one to each entry node that had ever asked it, 1,360 of them on the grown parts site, three quarters between failure domains; their heartbeats cost bytes and wake-ups. Nodes that had gone were never disconnected. Ruled out: handshakes of servers' connections (64,000 fewer saved no bytes that show). Change: an entry node connects when it asks a control VM and closes the connection after 10 s without asking; a control VM closes those of entry nodes that it forgets. A peer that is added again goes on with its sequence numbers (new test; without them its frames are taken for replays).

--- a/libs/control/src/control_node.cc
+++ b/libs/control/src/control_node.cc
@@ -359,7 +359,9 @@
   }
 
   void SendHellos(SteadyTime now) {
-    peers.ForgetEntryNodes(now);
+    for (const NodeId& it : peers.ForgetEntryNodes(now)) {
+      socket->RemovePeer(it);
+    }
     const std::vector<NodeId> vms = peers.Vms();
     registry.Exchange(vms, now);
     proto::ControlHello hello;
--- a/libs/control/src/control_peers.cc
+++ b/libs/control/src/control_peers.cc
@@ -36,11 +36,17 @@
   return entry_nodes_.insert_or_assign(node, std::pair(domain, now)).second;
 }
 
-void ControlPeers::ForgetEntryNodes(SteadyTime now) {
+std::vector<NodeId> ControlPeers::ForgetEntryNodes(SteadyTime now) {
   std::lock_guard lock(mutex_);
-  std::erase_if(entry_nodes_, [now](const auto& it) {
-    return now - it.second.second >= kEntryNodeLost;
+  std::vector<NodeId> forgotten;
+  std::erase_if(entry_nodes_, [&](const auto& it) {
+    const bool lost = now - it.second.second >= kEntryNodeLost;
+    if (lost) {
+      forgotten.push_back(it.first);
+    }
+    return lost;
   });
+  return forgotten;
 }
 
 std::vector<NodeId> ControlPeers::Vms() const {
--- a/libs/control/src/control_peers.h
+++ b/libs/control/src/control_peers.h
@@ -34,8 +34,8 @@
   bool OnEntryPoll(const NodeId& node,
                    const FailureDomain& domain,
                    SteadyTime now);
-  // Forgets the entry nodes that have not asked for a while.
-  void ForgetEntryNodes(SteadyTime now);
+  // Forgets the entry nodes that have not asked for a while, and names them.
+  std::vector<NodeId> ForgetEntryNodes(SteadyTime now);
 
   std::vector<NodeId> Vms() const;
   std::map<NodeId, HeardVm> Heard() const;
--- a/libs/entry/src/control_link.cc
+++ b/libs/entry/src/control_link.cc
@@ -38,10 +38,16 @@
 // A control VM that has not answered for this long is no longer relied on: two
 // polls in a row were lost.
 constexpr Duration kSilence = std::chrono::milliseconds(750);
+// The connection to a control VM that is not asked any more is closed after
+// this time: it outlasts the election of a leader and a restart, in which nodes
+// ask others for a while.
+constexpr Duration kKeepConnected = std::chrono::seconds(10);
 
 struct ControlVm {
   FailureDomain domain;
   std::optional<SteadyTime> answered_at;
+  // Empty while there is no connection to it.
+  std::optional<SteadyTime> asked_at;
   // It heard from the leader of the replicated log lately.
   bool current = false;
   uint64_t incarnation = 0;
@@ -88,9 +94,7 @@
   void AddControlVms(const std::vector<NodeId>& nodes) {
     std::lock_guard lock(mutex);
     for (const NodeId& it : nodes) {
-      if (vms.emplace(it, ControlVm{}).second) {
-        socket.AddPeer({it, it.value, settings.peer_port});
-      }
+      vms.emplace(it, ControlVm{});
     }
   }
 
@@ -108,6 +112,7 @@
   // one. `mutex` is held.
   void Poll() {
     const SteadyTime now = BootTime();
+    CloseUnused(now);
     std::vector<NodeId> order;
     for (const auto& [node, vm] : vms) {
       order.push_back(node);
@@ -116,7 +121,11 @@
       return vms[it].domain == settings.failure_domain;
     });
     for (const NodeId& node : order) {
-      const ControlVm& vm = vms[node];
+      ControlVm& vm = vms[node];
+      if (!vm.asked_at) {
+        socket.AddPeer({node, node.value, settings.peer_port});
+      }
+      vm.asked_at = now;
       proto::EntryPoll poll;
       poll.set_failure_domain(settings.failure_domain.value);
       poll.set_routes_version(routes_version);
@@ -131,6 +140,17 @@
     NoteSource({});
   }
 
+  // Each connection costs heartbeats, most of them between failure domains, and
+  // each control VM would have one for each entry node.
+  void CloseUnused(SteadyTime now) {
+    for (auto& [node, vm] : vms) {
+      if (vm.asked_at && now - *vm.asked_at > kKeepConnected) {
+        vm.asked_at.reset();
+        socket.RemovePeer(node);
+      }
+    }
+  }
+
   void NoteSource(const NodeId& node) {
     if (source == node) {
       return;
--- a/libs/peer/include/gooseberryrock/peer/peer_socket.h
+++ b/libs/peer/include/gooseberryrock/peer/peer_socket.h
@@ -68,8 +68,10 @@
   // The port at which this node receives.
   uint16_t port() const;
 
-  // Adds a peer, or changes the address of a known one. From any thread.
+  // Connects to a peer, or changes the address of a known one. From any thread.
   void AddPeer(PeerAddress peer);
+  // Drops what is queued for the peer and closes the connection to it; its
+  // frames are still received. It may be added again.
   void RemovePeer(const NodeId& node);
 
   // Queues a frame. From any thread, also from the handler. Throws FrameError
--- a/libs/peer/src/peer_socket.cc
+++ b/libs/peer/src/peer_socket.cc
@@ -175,6 +175,7 @@
       Outbox& outbox = it->second;
       if (outbox.remove) {
         dealers.erase(it->first);
+        removed_sequences[it->first] = outbox.sequence;
         it = outboxes.erase(it);
         continue;
       }
@@ -334,6 +335,9 @@
   bool wake_pending = false;
   bool stopping = false;
   std::map<NodeId, Outbox> outboxes;
+  // Of peers that were removed: a peer that is added again knows the last
+  // number and takes lower ones for replays.
+  std::map<NodeId, uint64_t> removed_sequences;
   std::map<NodeId, Sender> senders;
   std::set<NodeId> blocked_incoming;
   std::set<NodeId> blocked_outgoing;
@@ -353,7 +357,11 @@
 
 void PeerSocket::AddPeer(PeerAddress peer) {
   std::lock_guard lock(impl_->mutex);
-  Outbox& outbox = impl_->outboxes[peer.node];
+  auto [it, added] = impl_->outboxes.try_emplace(peer.node);
+  Outbox& outbox = it->second;
+  if (auto removed = impl_->removed_sequences.extract(peer.node)) {
+    outbox.sequence = removed.mapped();
+  }
   outbox.address = std::move(peer);
   outbox.connect = true;
   outbox.remove = false;
@@ -365,6 +373,8 @@
   auto it = impl_->outboxes.find(node);
   if (it != impl_->outboxes.end()) {
     it->second.remove = true;
+    it->second.frames.clear();
+    it->second.bytes = 0;
     impl_->Wake();
   }
 }
--- a/tests/peer/peer_socket_test.cc
+++ b/tests/peer/peer_socket_test.cc
@@ -73,6 +73,23 @@
   const PeerAddress address_b_{{"b"}, "127.0.0.1", b_->port()};
 };
 
+// Guards against frames that are taken for replays when a node connects again
+// to a peer that it had left: an entry node follows another control VM for a
+// while and then returns.
+TEST_F(PeerSocketTest, PeerIsAddedAgain) {
+  a_->AddPeer(address_b_);
+  Send("first");
+  ASSERT_TRUE(inbox_b_.WaitFor("first"));
+  a_->RemovePeer({"b"});
+  Send("dropped");
+  std::this_thread::sleep_for(milliseconds(50));
+  a_->AddPeer(address_b_);
+  Send("second");
+  EXPECT_TRUE(inbox_b_.WaitFor("second"));
+  EXPECT_EQ(inbox_b_.Bodies(), (std::vector<std::string>{"first", "second"}));
+  EXPECT_EQ(b_->Stats().replayed, 0U);
+}
+
 TEST_F(PeerSocketTest, DeliversInOrderAndReplies) {
   a_->AddPeer(address_b_);
   b_->AddPeer({{"a"}, "127.0.0.1", a_->port()});
