relay, settings: the limit on extra attempts comes from the settings and is divided among all nodes

Cause: each node could save up four extra attempts for each service, a figure for 9 nodes and an allowance of 52. 81 nodes could send 324 at once where 202 are allowed, on deployments whose limits the program did not read. Change: extra_attempts and extra_attempt_share in the settings; a pool saves up its part of the allowance among the nodes that the control VMs name, one attempt at least. stop_time_s may have a fraction.

--- a/apps/node/tier_commands.cc
+++ b/apps/node/tier_commands.cc
@@ -149,6 +149,8 @@
   entry.caller_endpoint = EndpointOf(settings.caller_address);
   entry.ready_endpoint = EndpointOf(settings.ready_address);
   entry.io_shards = settings.cores;
+  entry.extra_attempts = {settings.extra_attempt_share,
+                          settings.extra_attempts};
   entry.stop_time = settings.stop_time;
   const sigset_t signals = BlockSignals();
   entry::EntryNode node(entry, platform::EntryDialect());
--- a/libs/entry/include/gooseberryrock/entry/entry_settings.h
+++ b/libs/entry/include/gooseberryrock/entry/entry_settings.h
@@ -8,6 +8,7 @@
 
 #include "gooseberryrock/base/ids.h"
 #include "gooseberryrock/base/time.h"
+#include "gooseberryrock/relay/extra_attempt_limit.h"
 #include "gooseberryrock/transport/endpoint.h"
 
 namespace gooseberryrock::entry {
@@ -27,6 +28,7 @@
   transport::Endpoint ready_endpoint;
   // I/O shards, each with a thread: one for each core.
   unsigned io_shards = 1;
+  relay::ExtraAttemptLimit extra_attempts;
   // From the stop signal to the end of the process.
   Duration stop_time = std::chrono::seconds(6);
 };
--- a/libs/entry/src/entry_node.cc
+++ b/libs/entry/src/entry_node.cc
@@ -50,12 +50,14 @@
   Impl(const EntrySettings& node_settings, const Dialect& node_dialect)
       : settings(node_settings), dialect(node_dialect) {
     const unsigned n = std::max(1U, settings.io_shards);
+    relay::RelayPolicy policy;
+    policy.extra_attempts = settings.extra_attempts;
     std::vector<transport::IoThread*> all;
     for (unsigned i = 0; i < n; ++i) {
       threads.push_back(std::make_unique<transport::IoThread>());
       all.push_back(threads.back().get());
-      shards.push_back(std::make_unique<EntryShard>(*threads.back(), dialect,
-                                                    relay::RelayPolicy(), n));
+      shards.push_back(
+          std::make_unique<EntryShard>(*threads.back(), dialect, policy, n));
       shards.back()->PutPlan({{}, {settings.failure_domain, 0}});
     }
     callers.emplace(
--- a/libs/entry/src/entry_shard_servers.cc
+++ b/libs/entry/src/entry_shard_servers.cc
@@ -172,6 +172,10 @@
   }
   relay::KeepOneReachable(
       pool, Hash64(plan_.place.domain.value, plan_.place.position));
+  const uint32_t nodes = CountNodes(plan_.reservation);
+  if (nodes > 0) {
+    relay::DivideBudget(pool, policy_, nodes * shards_);
+  }
 }
 
 void EntryShard::ApplyAllShares() {
--- a/libs/relay/include/gooseberryrock/relay/relay_policy.h
+++ b/libs/relay/include/gooseberryrock/relay/relay_policy.h
@@ -4,9 +4,11 @@
 #define GOOSEBERRYROCK_RELAY_RELAY_POLICY_H_
 
 #include <array>
+#include <cstdint>
 
 #include "gooseberryrock/base/rank.h"
 #include "gooseberryrock/base/time.h"
+#include "gooseberryrock/relay/extra_attempt_limit.h"
 
 namespace gooseberryrock::relay {
 
@@ -49,12 +51,17 @@
   double unknown_typical_share = 0.15;
   double unknown_overdue_share = 0.35;
 
-  // Extra attempts (hedges and retries) that each first attempt earns. Below
-  // the 0.2 that the users allow, for attempts that are under way.
-  double budget_share = 0.17;
-  // Most extra attempts that a node saves up for each service. The users allow
-  // 52 in 10 s beyond the share, over about 9 nodes with the added ones.
-  double budget_capacity = 4;
+  // Hedges and retries.
+  ExtraAttemptLimit extra_attempts;
+  // Part of the limit's share that each first attempt earns. The rest is for
+  // attempts that are under way when a window ends.
+  double used_share = 0.85;
+  // Part of the limit's attempts that the nodes may save up together. The rest
+  // is for nodes that restart and begin with a full budget.
+  double used_attempts = 0.7;
+  // Nodes that are assumed to divide the limit while their number is not known:
+  // those of today's deployments, with the added ones.
+  uint32_t assumed_nodes = 9;
 
   // First and longest wait before a server that failed is tried again. The
   // longest is the time that a restarted server may stay without work.
--- a/libs/relay/include/gooseberryrock/relay/service_pool.h
+++ b/libs/relay/include/gooseberryrock/relay/service_pool.h
@@ -41,6 +41,12 @@
 
 ServicePool MakePool(const ServiceName& service, const RelayPolicy& policy);
 
+// Gives the pool its part of the limit on extra attempts, one of `holders`: the
+// I/O shards of all entry nodes.
+void DivideBudget(ServicePool& pool,
+                  const RelayPolicy& policy,
+                  uint32_t holders);
+
 // Lets the shard use one server when its shares of the connections leave it
 // none; which one depends on `seed`, so that nodes with different seeds take
 // different ones. Together they may exceed a limit by a few connections.
--- a/libs/relay/src/service_pool.cc
+++ b/libs/relay/src/service_pool.cc
@@ -20,12 +20,22 @@
 ServicePool MakePool(const ServiceName& service, const RelayPolicy& policy) {
   ServicePool pool;
   pool.service = service;
-  pool.budget.share = policy.budget_share;
-  pool.budget.capacity = policy.budget_capacity;
-  pool.budget.tokens = policy.budget_capacity;
+  DivideBudget(pool, policy, policy.assumed_nodes);
+  pool.budget.tokens = pool.budget.capacity;
   return pool;
 }
 
+void DivideBudget(ServicePool& pool,
+                  const RelayPolicy& policy,
+                  uint32_t holders) {
+  const ExtraAttemptLimit& limit = policy.extra_attempts;
+  pool.budget.share = limit.share * policy.used_share;
+  // One whole attempt at least: with less a pool could never make any.
+  pool.budget.capacity = std::max(1.0, limit.attempts * policy.used_attempts /
+                                           std::max<double>(holders, 1));
+  pool.budget.tokens = std::min(pool.budget.tokens, pool.budget.capacity);
+}
+
 void KeepOneReachable(ServicePool& pool, uint64_t seed) {
   PoolServer* first = nullptr;
   uint64_t first_hash = 0;
--- a/libs/settings/include/gooseberryrock/settings/tier_settings.h
+++ b/libs/settings/include/gooseberryrock/settings/tier_settings.h
@@ -36,6 +36,11 @@
   Address caller_address;
   Address ready_address;
   unsigned cores = 1;
+  // Attempts beyond the first of a request that all entry nodes together may
+  // send to a service: this share of its requests and a fixed number in each
+  // 10 s. The defaults are those of today's smallest deployment.
+  double extra_attempt_share = 0.2;
+  double extra_attempts = 52;
   // VMs whose loss the replicated log has to bear at the same time.
   uint32_t tolerated_losses = 1;
   // From the stop signal to the end of the process.
--- a/libs/settings/src/json_fields.cc
+++ b/libs/settings/src/json_fields.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <sstream>
 
 namespace gooseberryrock::settings {
 
@@ -115,6 +116,25 @@
   return *field;
 }
 
+double ReadNumber(const JsonObject& object,
+                  std::string_view key,
+                  double least,
+                  double most,
+                  double value_if_missing) {
+  const Json* field = FindField(object, key, Presence::kOptional);
+  if (field == nullptr) {
+    return value_if_missing;
+  }
+  if (!field->is_number() || field->get<double>() < least ||
+      field->get<double>() > most) {
+    std::ostringstream text;
+    text << "must be a number from " << least << " to " << most;
+    AddProblem(object, key, text.str());
+    return value_if_missing;
+  }
+  return *field;
+}
+
 bool ReadBool(const JsonObject& object,
               std::string_view key,
               bool value_if_missing) {
--- a/libs/settings/src/json_fields.h
+++ b/libs/settings/src/json_fields.h
@@ -64,6 +64,13 @@
                      Range range,
                      uint64_t value_if_missing);
 
+// A number, also with a fraction, from `least` to `most`.
+double ReadNumber(const JsonObject& object,
+                  std::string_view key,
+                  double least,
+                  double most,
+                  double value_if_missing);
+
 bool ReadBool(const JsonObject& object,
               std::string_view key,
               bool value_if_missing);
--- a/libs/settings/src/tier_settings.cc
+++ b/libs/settings/src/tier_settings.cc
@@ -21,7 +21,10 @@
 constexpr Range kTextLength = {0, 4096};
 constexpr Range kCores = {1, 256};
 constexpr Range kLosses = {0, 5};
-constexpr Range kStopSeconds = {1, 600};
+constexpr double kLeastStopSeconds = 1;
+constexpr double kMostStopSeconds = 600;
+constexpr double kMostExtraShare = 1;
+constexpr double kMostExtraAttempts = 1e6;
 constexpr size_t kMaxControlVms = 64;
 
 Json ParseFile(const std::string& path) {
@@ -127,11 +130,15 @@
   settings.tolerated_losses = static_cast<uint32_t>(
       ReadInteger(root, "tolerated_losses", Presence::kOptional, kLosses,
                   settings.tolerated_losses));
-  const auto default_stop =
-      std::chrono::duration_cast<std::chrono::seconds>(settings.stop_time);
-  settings.stop_time = std::chrono::seconds(
-      ReadInteger(root, "stop_time_s", Presence::kOptional, kStopSeconds,
-                  static_cast<uint64_t>(default_stop.count())));
+  settings.extra_attempt_share =
+      ReadNumber(root, "extra_attempt_share", 0, kMostExtraShare,
+                 settings.extra_attempt_share);
+  settings.extra_attempts = ReadNumber(
+      root, "extra_attempts", 0, kMostExtraAttempts, settings.extra_attempts);
+  using Seconds = std::chrono::duration<double>;
+  settings.stop_time = std::chrono::duration_cast<Duration>(Seconds(
+      ReadNumber(root, "stop_time_s", kLeastStopSeconds, kMostStopSeconds,
+                 Seconds(settings.stop_time).count())));
   if (!problems.empty()) {
     std::string message;
     for (const std::string& it : problems) {
--- a/tests/relay/request_machine_test.cc
+++ b/tests/relay/request_machine_test.cc
@@ -191,6 +191,27 @@
   EXPECT_EQ(std::get<GatheredOutcome>(*end.outcome).digests.size(), 10U);
 }
 
+// Guards against a fleet that exceeds the limit on extra attempts because each
+// node takes as many as a node of a small one: 81 nodes that all hedge in the
+// same 10 s in which each has had 14 requests, with a limit of 202 and 0.2.
+TEST(ExtraAttemptTest, LimitIsDividedAmongAllNodes) {
+  constexpr uint32_t kNodes = 81;
+  constexpr int kRequests = 14;
+  RelayPolicy policy;
+  policy.extra_attempts = {0.2, 202};
+  ServicePool pool = MakePool({"s"}, policy);
+  DivideBudget(pool, policy, kNodes);
+  uint32_t spent = 0;
+  for (int n = 0; n < kRequests; ++n) {
+    query::EarnBudget(pool.budget, 1);
+    while (query::SpendBudget(pool.budget)) {
+      ++spent;
+    }
+  }
+  EXPECT_GT(spent, 0U);
+  EXPECT_LE(kNodes * spent, 0.2 * kRequests * kNodes + 202);
+}
+
 // Guards against extra attempts beyond the budget that all nodes share.
 TEST_F(GatheredRequestTest, NoHedgeWithoutBudget) {
   it_.pools[9].budget.tokens = 0.5;
