monitoring: metrics of entry nodes and control VMs; control: less traffic when a control VM is lost

(2) One unreliable control VM elsewhere is asked at a time, without its directory; records are left out when the root digests agree, and the list of entry nodes when its digest does. Entry nodes named by a control VM that was not heard for 10 s no longer count.

--- a/apps/node/tier_commands.cc
+++ b/apps/node/tier_commands.cc
@@ -148,6 +148,7 @@
   entry.control_vms = ControlVmsOf(settings);
   entry.caller_endpoint = EndpointOf(settings.caller_address);
   entry.ready_endpoint = EndpointOf(settings.ready_address);
+  entry.metrics_endpoint = EndpointOf(settings.metrics_address);
   entry.io_shards = settings.cores;
   entry.extra_attempts = {settings.extra_attempt_share,
                           settings.extra_attempts};
@@ -169,6 +170,7 @@
   control.first_start = settings.first_start;
   control.data_folder = settings.data_folder;
   control.endpoint = EndpointOf(settings.control_address);
+  control.metrics_endpoint = EndpointOf(settings.metrics_address);
   control.tolerated_losses = settings.tolerated_losses;
   const sigset_t signals = BlockSignals();
   control::ControlNode node(control, platform::ControlDialect());
--- a/libs/control/include/gooseberryrock/control/control_settings.h
+++ b/libs/control/include/gooseberryrock/control/control_settings.h
@@ -29,6 +29,8 @@
   bool first_start = false;
   std::string data_folder;
   transport::Endpoint endpoint;
+  // Of the metrics; none are served when the host is empty.
+  transport::Endpoint metrics_endpoint;
   // VMs whose loss the replicated log has to bear at the same time.
   uint32_t tolerated_losses = 1;
 };
--- /dev/null
+++ b/libs/control/include/gooseberryrock/control/log_gauges.h
@@ -0,0 +1,23 @@
+// The state of the replicated log as metrics.
+
+#ifndef GOOSEBERRYROCK_CONTROL_LOG_GAUGES_H_
+#define GOOSEBERRYROCK_CONTROL_LOG_GAUGES_H_
+
+#include "gooseberryrock/base/ids.h"
+
+namespace gooseberryrock::telemetry {
+struct Metrics;
+}  // namespace gooseberryrock::telemetry
+
+namespace gooseberryrock::control {
+
+struct LogStatus;
+
+// `self` is the VM that has this status.
+void SetLogGauges(telemetry::Metrics& metrics,
+                  const LogStatus& status,
+                  const NodeId& self);
+
+}  // namespace gooseberryrock::control
+
+#endif  // GOOSEBERRYROCK_CONTROL_LOG_GAUGES_H_
--- a/libs/control/src/control_node.cc
+++ b/libs/control/src/control_node.cc
@@ -15,17 +15,23 @@
 
 #include "control_peers.h"
 #include "gooseberryrock/base/clock.h"
+#include "gooseberryrock/base/hash.h"
 #include "gooseberryrock/control/control_client.h"
 #include "gooseberryrock/control/control_dialect.h"
 #include "gooseberryrock/control/control_machine.h"
 #include "gooseberryrock/control/control_settings.h"
+#include "gooseberryrock/control/log_gauges.h"
+#include "gooseberryrock/control/log_status.h"
 #include "gooseberryrock/control/replicated_log.h"
+#include "gooseberryrock/monitoring/metrics_server.h"
+#include "gooseberryrock/monitoring/peer_counters.h"
 #include "gooseberryrock/peer/frame.h"
 #include "gooseberryrock/peer/incarnation.h"
 #include "gooseberryrock/peer/peer_socket.h"
 #include "gooseberryrock/proto/binary_codec.h"
 #include "gooseberryrock/proto/malformed_message_error.h"
 #include "gooseberryrock/telemetry/log_event.h"
+#include "gooseberryrock/telemetry/metrics.h"
 #include "gooseberryrock/transport/exchange.h"
 #include "gooseberryrock/transport/io_thread.h"
 #include "gooseberryrock/transport/web_server.h"
@@ -38,6 +44,7 @@
 
 namespace {
 
+using telemetry::Gauge;
 using telemetry::LogLevel;
 
 // Control VMs tell each other about themselves this often; two lost hellos lie
@@ -145,6 +152,10 @@
         [this](size_t /*thread*/, std::shared_ptr<transport::Exchange> it) {
           Handle(std::move(it));
         });
+    if (!settings.metrics_endpoint.host.empty()) {
+      metrics_server.emplace(io, settings.metrics_endpoint, metrics,
+                             [this] { UpdateMetrics(); });
+    }
     upkeep = std::thread([this] { RunUpkeep(); });
   }
 
@@ -181,6 +192,7 @@
     const ControlCall call = dialect.read_call(exchange->request());
     if (const auto* announce = std::get_if<AnnounceCall>(&call)) {
       const SteadyTime now = BootTime();
+      Increment(metrics, telemetry::Counter::kAnnouncements);
       registry.Announce(announce->record, peers.Vms(), now);
       exchange->Respond(dialect.announced(NextEndpoint(announce->record, now)));
     } else if (const auto* withdraw = std::get_if<WithdrawCall>(&call)) {
@@ -228,7 +240,32 @@
     }
   }
 
-  RouteCallParts RouteParts() { return {dialect, *client, *log}; }
+  RouteCallParts RouteParts() { return {dialect, *client, *log, metrics}; }
+
+  // On the I/O thread.
+  void UpdateMetrics() {
+    const SteadyTime now = BootTime();
+    SetLogGauges(metrics, log->Status(), settings.node);
+    const ServerCounts servers = registry.CountServers();
+    SetGauge(metrics, Gauge::kServersReady, static_cast<double>(servers.ready));
+    SetGauge(metrics, Gauge::kServersDraining,
+             static_cast<double>(servers.draining));
+    SetGauge(metrics, Gauge::kPeersReachable,
+             static_cast<double>(peers.CountPresent(now)));
+    size_t entry_nodes = 0;
+    for (const auto& [domain, nodes] : peers.AllEntryNodes(now)) {
+      entry_nodes += nodes.size();
+    }
+    SetGauge(metrics, Gauge::kEntryNodes, static_cast<double>(entry_nodes));
+    {
+      std::lock_guard lock(mutex);
+      SetGauge(metrics, Gauge::kRoutesVersion,
+               static_cast<double>(routes.version));
+    }
+    const peer::PeerStats stats = socket->Stats();
+    monitoring::CountPeerFrames(metrics, counted_frames, stats);
+    counted_frames = stats;
+  }
 
   // The replicated log.
 
@@ -317,7 +354,7 @@
       reply.add_control_vms(it.value);
     }
     if (now - started_at >= kNodesKnownTime) {
-      AddEntryNodes(reply);
+      AddEntryNodes(poll, reply);
     }
     {
       std::lock_guard lock(mutex);
@@ -330,14 +367,22 @@
                  reply.SerializeAsString());
   }
 
-  void AddEntryNodes(proto::EntryPollReply& reply) const {
-    for (const auto& [domain, nodes] : peers.AllEntryNodes()) {
+  void AddEntryNodes(const proto::EntryPoll& poll,
+                     proto::EntryPollReply& reply) const {
+    uint64_t digest = 0;
+    for (const auto& [domain, nodes] : peers.AllEntryNodes(BootTime())) {
       auto& message = *reply.add_entry_nodes();
       message.set_failure_domain(domain.value);
+      digest = Hash64(domain.value, digest);
       for (const NodeId& it : nodes) {
         message.add_nodes(it.value);
+        digest = Hash64(it.value, digest);
       }
     }
+    reply.set_entry_nodes_digest(digest);
+    if (poll.entry_nodes_digest() == digest) {
+      reply.clear_entry_nodes();
+    }
   }
 
   // Upkeep.
@@ -430,6 +475,9 @@
   bool started = false;
   std::atomic<bool> repair_pending = false;
 
+  telemetry::Metrics metrics;
+  // Used on the I/O thread only.
+  peer::PeerStats counted_frames;
   transport::IoThread io;
   ControlPeers peers;
   std::optional<peer::PeerSocket> socket;
@@ -438,6 +486,7 @@
   std::optional<ControlClient> client;
   std::optional<transport::WorkerPool> workers;
   std::optional<transport::WebServer> server;
+  std::optional<monitoring::MetricsServer> metrics_server;
   std::thread upkeep;
 };
 
--- a/libs/control/src/control_peers.cc
+++ b/libs/control/src/control_peers.cc
@@ -2,6 +2,7 @@
 
 #include "control_peers.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace gooseberryrock::control {
@@ -49,6 +50,14 @@
   return forgotten;
 }
 
+size_t ControlPeers::CountPresent(SteadyTime now) const {
+  std::lock_guard lock(mutex_);
+  return static_cast<size_t>(
+      std::count_if(vms_.begin(), vms_.end(), [now](const auto& it) {
+        return now - it.second.heard.heard_at < kVmPresent;
+      }));
+}
+
 std::vector<NodeId> ControlPeers::Vms() const {
   std::lock_guard lock(mutex_);
   std::vector<NodeId> nodes;
@@ -76,13 +85,17 @@
   return nodes;
 }
 
-std::map<FailureDomain, std::set<NodeId>> ControlPeers::AllEntryNodes() const {
+std::map<FailureDomain, std::set<NodeId>> ControlPeers::AllEntryNodes(
+    SteadyTime now) const {
   std::lock_guard lock(mutex_);
   std::map<FailureDomain, std::set<NodeId>> all;
   for (const auto& [node, entry] : entry_nodes_) {
     all[entry.first].insert(node);
   }
   for (const auto& [vm, peer] : vms_) {
+    if (now - peer.heard.heard_at >= kEntryNodeLost) {
+      continue;
+    }
     for (const auto& [node, domain] : peer.entry_nodes) {
       all[domain].insert(node);
     }
--- a/libs/control/src/control_peers.h
+++ b/libs/control/src/control_peers.h
@@ -34,6 +34,8 @@
   bool OnEntryPoll(const NodeId& node,
                    const FailureDomain& domain,
                    SteadyTime now);
+  // Control VMs that were heard of lately, without this one.
+  size_t CountPresent(SteadyTime now) const;
   // Forgets the entry nodes that have not asked for a while, and names them.
   std::vector<NodeId> ForgetEntryNodes(SteadyTime now);
 
@@ -42,7 +44,7 @@
   // Those that ask this VM.
   std::map<NodeId, FailureDomain> OwnEntryNodes() const;
   // Those of all VMs, by failure domain.
-  std::map<FailureDomain, std::set<NodeId>> AllEntryNodes() const;
+  std::map<FailureDomain, std::set<NodeId>> AllEntryNodes(SteadyTime now) const;
   // A VM of `domain` that was heard lately, this one if it is there; empty when
   // there is none.
   NodeId VmIn(const FailureDomain& domain, SteadyTime now) const;
--- a/libs/control/src/registry.cc
+++ b/libs/control/src/registry.cc
@@ -127,13 +127,33 @@
 
 void Registry::AnswerPoll(const proto::EntryPoll& poll,
                           proto::EntryPollReply& reply) const {
+  reply.set_without_directory(poll.without_directory());
+  if (poll.without_directory()) {
+    return;
+  }
   std::lock_guard lock(mutex_);
-  const uint64_t since =
-      poll.directory_incarnation() == incarnation_ ? poll.directory_count() : 0;
+  uint64_t since = 0;
+  if (poll.directory_incarnation() == incarnation_) {
+    since = poll.directory_count();
+  } else if (poll.directory_digest() ==
+             directory::MakeRootDigest(directory_).root) {
+    since = directory_.change_count;
+  }
   for (const auto& record : directory::ChangesSince(directory_, since)) {
     *reply.add_records() = proto::ToMessage(record);
   }
   reply.set_directory_count(directory_.change_count);
 }
 
+ServerCounts Registry::CountServers() const {
+  std::lock_guard lock(mutex_);
+  ServerCounts counts;
+  for (const auto& [id, entry] : directory_.entries) {
+    const auto state = entry.record.state;
+    counts.ready += state == directory::ServerState::kReady ? 1 : 0;
+    counts.draining += state == directory::ServerState::kDraining ? 1 : 0;
+  }
+  return counts;
+}
+
 }  // namespace gooseberryrock::control
--- a/libs/control/src/registry.h
+++ b/libs/control/src/registry.h
@@ -28,6 +28,11 @@
 
 namespace gooseberryrock::control {
 
+struct ServerCounts {
+  size_t ready = 0;
+  size_t draining = 0;
+};
+
 // All functions may be called on any thread.
 class Registry {
  public:
@@ -56,6 +61,8 @@
   void AnswerPoll(const proto::EntryPoll& poll,
                   proto::EntryPollReply& reply) const;
 
+  ServerCounts CountServers() const;
+
  private:
   void SendDeltas(const std::vector<NodeId>& peers);
 
--- a/libs/control/src/route_calls.cc
+++ b/libs/control/src/route_calls.cc
@@ -14,6 +14,7 @@
 #include "gooseberryrock/routes/route_error.h"
 #include "gooseberryrock/routes/validate_routes.h"
 #include "gooseberryrock/telemetry/log_event.h"
+#include "gooseberryrock/telemetry/metrics.h"
 #include "peer.pb.h"
 
 namespace gooseberryrock::control {
@@ -40,6 +41,7 @@
     problem = e.what();
   }
   if (!problem.empty()) {
+    Increment(parts.metrics, telemetry::Counter::kRoutesRefused);
     telemetry::LogEvent(
         LogLevel::kWarning, "routes_refused",
         {{"version", std::to_string(call.version)}, {"error", problem}});
@@ -52,6 +54,9 @@
   const CallResult result = parts.client.Call(std::move(request), kCallTimeout);
   const bool stored =
       result.status == CallStatus::kDone && result.reply.has_put_routes();
+  if (stored) {
+    Increment(parts.metrics, telemetry::Counter::kRoutesStored);
+  }
   telemetry::LogEvent(
       stored ? LogLevel::kInfo : LogLevel::kWarning,
       stored ? "routes_stored" : "routes_unclear",
--- a/libs/control/src/route_calls.h
+++ b/libs/control/src/route_calls.h
@@ -5,6 +5,10 @@
 
 #include "gooseberryrock/transport/http_message.h"
 
+namespace gooseberryrock::telemetry {
+struct Metrics;
+}  // namespace gooseberryrock::telemetry
+
 namespace gooseberryrock::control {
 
 class ControlClient;
@@ -16,6 +20,7 @@
   const ControlDialect& dialect;
   ControlClient& client;
   const ReplicatedLog& log;
+  telemetry::Metrics& metrics;
 };
 
 // Both wait for the replicated log, for up to kCallTimeout.
--- a/libs/directory/include/gooseberryrock/directory/reservation.h
+++ b/libs/directory/include/gooseberryrock/directory/reservation.h
@@ -13,6 +13,15 @@
 
 using Reservation = std::map<FailureDomain, uint32_t>;
 
+// The nodes of all failure domains.
+inline uint32_t CountNodes(const Reservation& reservation) {
+  uint32_t nodes = 0;
+  for (const auto& [domain, n] : reservation) {
+    nodes += n;
+  }
+  return nodes;
+}
+
 // The place of a node in a reservation.
 struct ReservedPlace {
   FailureDomain domain;
--- a/libs/entry/include/gooseberryrock/entry/entry_settings.h
+++ b/libs/entry/include/gooseberryrock/entry/entry_settings.h
@@ -26,6 +26,8 @@
   std::vector<NodeId> control_vms;
   transport::Endpoint caller_endpoint;
   transport::Endpoint ready_endpoint;
+  // Of the metrics; none are served when the host is empty.
+  transport::Endpoint metrics_endpoint;
   // I/O shards, each with a thread: one for each core.
   unsigned io_shards = 1;
   relay::ExtraAttemptLimit extra_attempts;
--- a/libs/entry/src/control_link.cc
+++ b/libs/entry/src/control_link.cc
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "gooseberryrock/base/clock.h"
+#include "gooseberryrock/directory/directory_exchange.h"
 #include "gooseberryrock/entry/server_book.h"
 #include "gooseberryrock/peer/frame.h"
 #include "gooseberryrock/peer/incarnation.h"
@@ -108,38 +109,62 @@
     }
   }
 
-  // Asks the control VMs in the order of preference up to the first reliable
-  // one. `mutex` is held.
+  // Asks the control VMs of the own failure domain up to the first reliable
+  // one; failing that a reliable one elsewhere. While there is none, one of the
+  // others is asked at a time, without its directory: many nodes lose the same
+  // control VM at once, and a directory from each of the others would take more
+  // than the links between failure domains should carry. `mutex` is held.
   void Poll() {
     const SteadyTime now = BootTime();
     CloseUnused(now);
-    std::vector<NodeId> order;
-    for (const auto& [node, vm] : vms) {
-      order.push_back(node);
+    std::vector<NodeId> others;
+    for (auto& [node, vm] : vms) {
+      if (vm.domain != settings.failure_domain) {
+        others.push_back(node);
+        continue;
+      }
+      Ask(node, vm, /*with_directory=*/true, now);
+      if (IsReliable(vm, now)) {
+        NoteSource(node);
+        return;
+      }
     }
-    std::stable_partition(order.begin(), order.end(), [this](const NodeId& it) {
-      return vms[it].domain == settings.failure_domain;
-    });
-    for (const NodeId& node : order) {
+    for (const NodeId& node : others) {
       ControlVm& vm = vms[node];
-      if (!vm.asked_at) {
-        socket.AddPeer({node, node.value, settings.peer_port});
-      }
-      vm.asked_at = now;
-      proto::EntryPoll poll;
-      poll.set_failure_domain(settings.failure_domain.value);
-      poll.set_routes_version(routes_version);
-      poll.set_directory_incarnation(vm.incarnation);
-      poll.set_directory_count(vm.directory_count);
-      socket.Send(node, peer::FrameKind::kEntryPoll, poll.SerializeAsString());
       if (IsReliable(vm, now)) {
+        Ask(node, vm, /*with_directory=*/true, now);
         NoteSource(node);
         return;
       }
     }
+    if (!others.empty()) {
+      const NodeId& node = others[probes++ % others.size()];
+      Ask(node, vms[node], /*with_directory=*/false, now);
+    }
     NoteSource({});
   }
 
+  void Ask(const NodeId& node,
+           ControlVm& vm,
+           bool with_directory,
+           SteadyTime now) {
+    if (!vm.asked_at) {
+      socket.AddPeer({node, node.value, settings.peer_port});
+    }
+    vm.asked_at = now;
+    proto::EntryPoll poll;
+    poll.set_failure_domain(settings.failure_domain.value);
+    poll.set_routes_version(routes_version);
+    poll.set_entry_nodes_digest(entry_nodes_digest);
+    poll.set_without_directory(!with_directory);
+    if (with_directory) {
+      poll.set_directory_incarnation(vm.incarnation);
+      poll.set_directory_count(vm.directory_count);
+      poll.set_directory_digest(directory::MakeRootDigest(book.directory).root);
+    }
+    socket.Send(node, peer::FrameKind::kEntryPoll, poll.SerializeAsString());
+  }
+
   // Each connection costs heartbeats, most of them between failure domains, and
   // each control VM would have one for each entry node.
   void CloseUnused(SteadyTime now) {
@@ -199,10 +224,15 @@
       vm.domain = {reply.failure_domain()};
       vm.answered_at = BootTime();
       vm.current = reply.current();
-      vm.incarnation = frame.incarnation;
-      vm.directory_count = reply.directory_count();
-      changes = MergeRecords(book, records, *vm.answered_at);
-      has_directory = true;
+      if (!reply.without_directory()) {
+        vm.incarnation = frame.incarnation;
+        vm.directory_count = reply.directory_count();
+        changes = MergeRecords(book, records, *vm.answered_at);
+        has_directory = true;
+      }
+      if (plan) {
+        entry_nodes_digest = reply.entry_nodes_digest();
+      }
       if (plan && *plan == last_plan) {
         plan.reset();
       } else if (plan) {
@@ -279,6 +309,10 @@
   bool stopping = false;
   ServerBook book;
   ConnectionPlan last_plan;
+  // Of the list that `last_plan` was made from.
+  uint64_t entry_nodes_digest = 0;
+  // Control VMs of other failure domains that were asked in turn.
+  size_t probes = 0;
   std::condition_variable changed;
 
   peer::PeerSocket socket;
@@ -301,4 +335,15 @@
   return impl_->routes_version > 0 && impl_->has_directory;
 }
 
+ControlLinkStatus ControlLink::Status() const {
+  ControlLinkStatus status;
+  status.frames = impl_->socket.Stats();
+  std::lock_guard lock(impl_->mutex);
+  status.routes_version = impl_->routes_version;
+  for (const auto& [node, vm] : impl_->vms) {
+    status.answered_at = std::max(status.answered_at, vm.answered_at);
+  }
+  return status;
+}
+
 }  // namespace gooseberryrock::entry
--- a/libs/entry/src/control_link.h
+++ b/libs/entry/src/control_link.h
@@ -6,11 +6,13 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "gooseberryrock/entry/dialect.h"
 #include "gooseberryrock/entry/entry_settings.h"
 #include "gooseberryrock/entry/server_change.h"
+#include "gooseberryrock/peer/peer_stats.h"
 #include "gooseberryrock/routes/route_table.h"
 
 namespace gooseberryrock::entry {
@@ -21,6 +23,15 @@
   std::function<void(ConnectionPlan)> on_plan;
 };
 
+// What the node knows of the rest of the system.
+struct ControlLinkStatus {
+  // 0 when none are in force.
+  uint64_t routes_version = 0;
+  // When a control VM answered last.
+  std::optional<SteadyTime> answered_at;
+  peer::PeerStats frames;
+};
+
 class ControlLink {
  public:
   // Events are called on a thread of the link, one at a time. Throws
@@ -38,6 +49,8 @@
   // Whether routes are in force and the servers are known.
   bool IsReady() const;
 
+  ControlLinkStatus Status() const;
+
  private:
   struct Impl;
   std::unique_ptr<Impl> impl_;
--- a/libs/entry/src/entry_node.cc
+++ b/libs/entry/src/entry_node.cc
@@ -14,8 +14,11 @@
 #include "gooseberryrock/base/clock.h"
 #include "gooseberryrock/entry/dialect.h"
 #include "gooseberryrock/entry/entry_settings.h"
+#include "gooseberryrock/monitoring/metrics_server.h"
+#include "gooseberryrock/monitoring/peer_counters.h"
 #include "gooseberryrock/relay/relay_policy.h"
 #include "gooseberryrock/telemetry/log_event.h"
+#include "gooseberryrock/telemetry/metrics.h"
 #include "gooseberryrock/transport/exchange.h"
 #include "gooseberryrock/transport/io_thread.h"
 #include "gooseberryrock/transport/web_server.h"
@@ -24,6 +27,8 @@
 
 namespace {
 
+using telemetry::Gauge;
+
 // The balancer asks each second and acts on two refusals.
 constexpr Duration kBalancerNotice = std::chrono::milliseconds(3200);
 // Kept free at the end of the stop time for the end of the process.
@@ -56,8 +61,8 @@
     for (unsigned i = 0; i < n; ++i) {
       threads.push_back(std::make_unique<transport::IoThread>());
       all.push_back(threads.back().get());
-      shards.push_back(
-          std::make_unique<EntryShard>(*threads.back(), dialect, policy, n));
+      shards.push_back(std::make_unique<EntryShard>(*threads.back(), dialect,
+                                                    policy, n, metrics));
       shards.back()->PutPlan({{}, {settings.failure_domain, 0}});
     }
     callers.emplace(
@@ -73,8 +78,40 @@
                const std::shared_ptr<transport::Exchange>& it) {
           AnswerReadyCheck(*it);
         });
+    if (!settings.metrics_endpoint.host.empty()) {
+      metrics_server.emplace(*all.front(), settings.metrics_endpoint, metrics,
+                             [this] { UpdateMetrics(); });
+    }
+  }
+
+  // On the first I/O thread.
+  void UpdateMetrics() {
+    ShardCounts total;
+    for (auto& it : shards) {
+      const ShardCounts counts = it->Count();
+      total.requests_in_flight += counts.requests_in_flight;
+      // Each shard knows all servers.
+      total.servers_ready = counts.servers_ready;
+    }
+    SetGauge(metrics, Gauge::kQueriesInFlight,
+             static_cast<double>(total.requests_in_flight));
+    SetGauge(metrics, Gauge::kServersReady,
+             static_cast<double>(total.servers_ready));
+    const ControlLinkStatus status = control->Status();
+    SetGauge(metrics, Gauge::kRoutesVersion,
+             static_cast<double>(status.routes_version));
+    if (status.answered_at) {
+      SetGauge(metrics, Gauge::kControlAnswerAgeSeconds,
+               std::chrono::duration<double>(BootTime() - *status.answered_at)
+                   .count());
+    }
+    SetGauge(metrics, Gauge::kReady, IsReady() ? 1 : 0);
+    monitoring::CountPeerFrames(metrics, counted_frames, status.frames);
+    counted_frames = status.frames;
   }
 
+  bool IsReady() const { return !draining && control->IsReady(); }
+
   ~Impl() {
     control.reset();
     for (auto& it : threads) {
@@ -89,6 +126,12 @@
           for (auto& it : shards) {
             it->PutRoutes(table);
           }
+          // A route takes the place of a service in the labels.
+          std::vector<ServiceName> labels;
+          for (const routes::Route& it : table->set.routes) {
+            labels.push_back({it.name});
+          }
+          telemetry::SetServices(metrics, labels);
           callers->SetLimits(LimitsOf(table->set.limits));
         };
     events.on_servers = [this](const std::vector<ServerChange>& changes) {
@@ -97,6 +140,8 @@
       }
     };
     events.on_plan = [this](const ConnectionPlan& plan) {
+      SetGauge(metrics, Gauge::kEntryNodes,
+               static_cast<double>(directory::CountNodes(plan.reservation)));
       for (auto& it : shards) {
         it->PutPlan(plan);
       }
@@ -110,9 +155,8 @@
       exchange.Respond(transport::Response(http::status::not_found, 11));
       return;
     }
-    const bool ready = !draining && control->IsReady();
     exchange.Respond(transport::Response(
-        ready ? http::status::ok : http::status::service_unavailable, 11));
+        IsReady() ? http::status::ok : http::status::service_unavailable, 11));
   }
 
   void WaitFor(Duration duration) {
@@ -122,12 +166,16 @@
 
   const EntrySettings settings;
   const Dialect& dialect;
+  telemetry::Metrics metrics;
+  // Used on the first I/O thread only.
+  peer::PeerStats counted_frames;
   std::atomic<bool> draining = false;
   std::vector<std::unique_ptr<transport::IoThread>> threads;
   std::vector<std::unique_ptr<EntryShard>> shards;
   std::optional<ControlLink> control;
   std::optional<transport::WebServer> ready_server;
   std::optional<transport::WebServer> callers;
+  std::optional<monitoring::MetricsServer> metrics_server;
   std::mutex wait_mutex;
   std::condition_variable wait;
 };
--- a/libs/entry/src/entry_shard.cc
+++ b/libs/entry/src/entry_shard.cc
@@ -11,6 +11,7 @@
 #include "entry_shard_state.h"
 #include "gooseberryrock/base/clock.h"
 #include "gooseberryrock/telemetry/log_event.h"
+#include "gooseberryrock/telemetry/metrics.h"
 #include "gooseberryrock/transport/connection_fields.h"
 #include "gooseberryrock/transport/exchange.h"
 #include "gooseberryrock/transport/io_thread.h"
@@ -20,6 +21,7 @@
 
 namespace {
 
+using telemetry::Counter;
 using telemetry::LogLevel;
 
 // Connections are opened and closed, and silent attempts given up, this often.
@@ -40,11 +42,13 @@
 EntryShard::EntryShard(transport::IoThread& thread,
                        const Dialect& dialect,
                        const relay::RelayPolicy& policy,
-                       unsigned shards)
+                       unsigned shards,
+                       telemetry::Metrics& metrics)
     : thread_(thread),
       dialect_(dialect),
       policy_(policy),
       shards_(shards),
+      metrics_(metrics),
       random_(std::random_device{}()),
       links_(thread.context(),
              {[this](const std::function<void()>& it) {
@@ -61,6 +65,7 @@
                   relay::RecordResult(server->stats, policy_,
                                       relay::AttemptResult::kLost, now,
                                       Duration::zero(), now);
+                  Increment(metrics_, Counter::kServerConnectsFailed);
                   telemetry::LogEvent(
                       LogLevel::kWarning, "server_connect_failed",
                       {{"server", id.value},
@@ -147,6 +152,7 @@
   const routes::Route* route =
       routes::FindRoute(*table_, caller.host, {target.data(), target.size()});
   if (route == nullptr) {
+    Increment(metrics_, Counter::kRequestsWithoutRoute);
     telemetry::LogEvent(
         LogLevel::kWarning, "request_without_route",
         {{"request", caller.id},
@@ -216,6 +222,18 @@
   Apply(number, relay::StartRequest(added.state, Context(), BootTime()));
 }
 
+ShardCounts EntryShard::Count() {
+  std::lock_guard lock(mutex_);
+  ShardCounts counts;
+  counts.requests_in_flight = active_.size();
+  for (const auto& [service, pool] : pools_) {
+    counts.servers_ready += static_cast<size_t>(
+        std::count_if(pool.servers.begin(), pool.servers.end(),
+                      [](const relay::PoolServer& it) { return it.usable; }));
+  }
+  return counts;
+}
+
 void EntryShard::Apply(ActiveNumber number, relay::RequestEffects effects) {
   auto it = active_.find(number);
   if (it == active_.end()) {
@@ -252,6 +270,7 @@
     return;
   }
   Active& active = *it->second;
+  Increment(metrics_, Counter::kCallersGone);
   telemetry::LogEvent(
       LogLevel::kInfo, "caller_gone",
       {{"request", active.caller.id},
@@ -270,6 +289,7 @@
   active_.erase(it);
   SetTimer(*active, std::nullopt);
   LogOutcome(active->caller.id, active->state, outcome);
+  CountOutcome(metrics_, active->caller.host, active->state, outcome);
   transport::Response response;
   if (auto* gathered = std::get_if<relay::GatheredOutcome>(&outcome)) {
     response = dialect_.gathered(std::move(*gathered));
--- a/libs/entry/src/entry_shard.h
+++ b/libs/entry/src/entry_shard.h
@@ -26,6 +26,10 @@
 #include "gooseberryrock/transport/http_message.h"
 #include "server_links.h"
 
+namespace gooseberryrock::telemetry {
+struct Metrics;
+}  // namespace gooseberryrock::telemetry
+
 namespace gooseberryrock::transport {
 class Exchange;
 class IoThread;
@@ -36,13 +40,19 @@
 
 using RouteTablePtr = std::shared_ptr<const routes::RouteTable>;
 
+struct ShardCounts {
+  size_t requests_in_flight = 0;
+  size_t servers_ready = 0;
+};
+
 class EntryShard {
  public:
   // `shards` is the number of shards that share the limits of the node.
   EntryShard(transport::IoThread& thread,
              const Dialect& dialect,
              const relay::RelayPolicy& policy,
-             unsigned shards);
+             unsigned shards,
+             telemetry::Metrics& metrics);
   EntryShard(const EntryShard&) = delete;
   EntryShard& operator=(const EntryShard&) = delete;
   ~EntryShard();
@@ -54,6 +64,7 @@
   void PutRoutes(RouteTablePtr table);
   void PutServers(std::vector<ServerChange> changes);
   void PutPlan(ConnectionPlan plan);
+  ShardCounts Count();
 
  private:
   // A request of a caller without an answer.
@@ -109,6 +120,7 @@
   const Dialect& dialect_;
   const relay::RelayPolicy policy_;
   const unsigned shards_;
+  telemetry::Metrics& metrics_;
 
   std::mutex mutex_;
   // Everything below is guarded by `mutex_`.
--- a/libs/entry/src/entry_shard_attempts.cc
+++ b/libs/entry/src/entry_shard_attempts.cc
@@ -7,6 +7,7 @@
 #include "gooseberryrock/base/clock.h"
 #include "gooseberryrock/relay/server_reply.h"
 #include "gooseberryrock/telemetry/log_event.h"
+#include "gooseberryrock/telemetry/metrics.h"
 #include "gooseberryrock/transport/exchange.h"
 #include "gooseberryrock/transport/server_connection.h"
 #include "outcome_log.h"
@@ -15,6 +16,7 @@
 
 namespace {
 
+using telemetry::Counter;
 using telemetry::LogLevel;
 
 // An attempt that no one waits for is given up this long after the time that
@@ -57,6 +59,9 @@
   flights_.emplace(key, std::move(flight));
   if (attempt.cause == relay::AttemptCause::kHedge ||
       attempt.cause == relay::AttemptCause::kRetry) {
+    Increment(metrics_, attempt.cause == relay::AttemptCause::kHedge
+                            ? Counter::kHedges
+                            : Counter::kRetries);
     telemetry::LogEvent(
         LogLevel::kInfo, "attempt_repeated",
         {{"request", active.caller.id},
@@ -78,6 +83,7 @@
   Active& active = *active_.at(flight.active);
   const routes::Route& route = *active.state.route;
   const SteadyTime now = BootTime();
+  Increment(metrics_, Counter::kAttemptsSent);
   flight.connection = connection;
   flight.sent_at = now;
   flight.give_up_at = active.state.final_at + kSilenceMargin;
@@ -107,6 +113,7 @@
   active.flights.erase(it);
   Flight& flight = flights_.at(key);
   flight.active = 0;
+  Increment(metrics_, Counter::kAttemptsCancelled);
   if (!flight.connection) {
     links_.CancelWait(*flight.pool, flight.server, key);
     flights_.erase(key);
@@ -150,6 +157,7 @@
     OnWholeReply(key, std::move(reply));
     return;
   }
+  Increment(metrics_, Counter::kForeignReplies);
   telemetry::LogEvent(LogLevel::kWarning, "foreign_reply",
                       {{"request", flight.request_id},
                        {"reply_to", answered},
@@ -216,6 +224,7 @@
     relay::RecordResult(server->stats, policy_, result, flight.sent_at,
                         flight.typical, now);
   }
+  Increment(metrics_, Counter::kAttemptsFailed);
   telemetry::LogEvent(
       LogLevel::kWarning, "attempt_lost",
       {{"request", flight.request_id},
--- a/libs/entry/src/entry_shard_servers.cc
+++ b/libs/entry/src/entry_shard_servers.cc
@@ -26,14 +26,6 @@
 // nodes of the server's own domain need.
 constexpr uint32_t kPlentyForEachNode = 2;
 
-uint32_t CountNodes(const directory::Reservation& reservation) {
-  uint32_t nodes = 0;
-  for (const auto& [domain, n] : reservation) {
-    nodes += n;
-  }
-  return nodes;
-}
-
 }  // namespace
 
 void EntryShard::Sweep() {
@@ -160,7 +152,7 @@
       Hash64(record.id.value));
   server.connection_share = share == 0 ? 0 : std::max(1U, share / shards_);
   const bool plenty =
-      limit / kPlentyForEachNode >= CountNodes(plan_.reservation);
+      limit / kPlentyForEachNode >= directory::CountNodes(plan_.reservation);
   server.ready_connections = server.own_domain ? kReadyOwnDomain
                              : plenty          ? kReadyOtherDomain
                                                : 0;
@@ -172,7 +164,7 @@
   }
   relay::KeepOneReachable(
       pool, Hash64(plan_.place.domain.value, plan_.place.position));
-  const uint32_t nodes = CountNodes(plan_.reservation);
+  const uint32_t nodes = directory::CountNodes(plan_.reservation);
   if (nodes > 0) {
     relay::DivideBudget(pool, policy_, nodes * shards_);
   }
--- a/libs/entry/src/outcome_log.cc
+++ b/libs/entry/src/outcome_log.cc
@@ -1,4 +1,4 @@
-// The log line of a request that did not go as planned.
+// What the log and the metrics say of a request that has ended.
 
 #include "outcome_log.h"
 
@@ -8,6 +8,7 @@
 #include "gooseberryrock/base/clock.h"
 #include "gooseberryrock/relay/request_state.h"
 #include "gooseberryrock/telemetry/log_event.h"
+#include "gooseberryrock/telemetry/metrics.h"
 
 namespace gooseberryrock::entry {
 
@@ -43,6 +44,21 @@
   return "unknown";
 }
 
+// In the words of query::AnswerStatusName().
+const char* StatusName(const relay::RequestState& state,
+                       const relay::Outcome& outcome) {
+  if (const auto* gathered = std::get_if<relay::GatheredOutcome>(&outcome)) {
+    return gathered->missing_shards > 0 ? "partial" : "complete";
+  }
+  if (const auto* relayed = std::get_if<relay::RelayedOutcome>(&outcome)) {
+    return relayed->attempt == state.failed_reply ? "failed" : "complete";
+  }
+  if (std::holds_alternative<relay::RefusedOutcome>(outcome)) {
+    return "not_run";
+  }
+  return state.IsGathered() ? "failed" : "outcome_unknown";
+}
+
 }  // namespace
 
 std::string Milliseconds(Duration duration) {
@@ -82,4 +98,22 @@
   }
 }
 
+void CountOutcome(telemetry::Metrics& metrics,
+                  const std::string& host,
+                  const relay::RequestState& state,
+                  const relay::Outcome& outcome) {
+  const Duration latency = BootTime() - state.received;
+  telemetry::AnswerSample sample{
+      state.route->name,          state.route->rank, host,
+      StatusName(state, outcome), latency,           std::nullopt};
+  if (std::holds_alternative<relay::GatheredOutcome>(outcome)) {
+    sample.coverage = static_cast<double>(state.parts_answered) /
+                      static_cast<double>(state.parts.size());
+  }
+  RecordAnswer(metrics, sample);
+  if (std::holds_alternative<relay::RefusedOutcome>(outcome)) {
+    Increment(metrics, telemetry::Counter::kAdmissionRefused);
+  }
+}
+
 }  // namespace gooseberryrock::entry
--- a/libs/entry/src/outcome_log.h
+++ b/libs/entry/src/outcome_log.h
@@ -1,4 +1,4 @@
-// The log line of a request that did not go as planned.
+// What the log and the metrics say of a request that has ended.
 
 #ifndef GOOSEBERRYROCK_LIBS_ENTRY_SRC_OUTCOME_LOG_H_
 #define GOOSEBERRYROCK_LIBS_ENTRY_SRC_OUTCOME_LOG_H_
@@ -12,6 +12,10 @@
 struct RequestState;
 }  // namespace gooseberryrock::relay
 
+namespace gooseberryrock::telemetry {
+struct Metrics;
+}  // namespace gooseberryrock::telemetry
+
 namespace gooseberryrock::entry {
 
 // Whole milliseconds, for the fields of a log line.
@@ -22,6 +26,13 @@
                 const relay::RequestState& state,
                 const relay::Outcome& outcome);
 
+// Counts the request under its route, its rank and `host`, the one that the
+// caller named.
+void CountOutcome(telemetry::Metrics& metrics,
+                  const std::string& host,
+                  const relay::RequestState& state,
+                  const relay::Outcome& outcome);
+
 }  // namespace gooseberryrock::entry
 
 #endif  // GOOSEBERRYROCK_LIBS_ENTRY_SRC_OUTCOME_LOG_H_
--- /dev/null
+++ b/libs/monitoring/include/gooseberryrock/monitoring/metrics_server.h
@@ -0,0 +1,40 @@
+// Serves the metrics of a process at an address of their own.
+
+#ifndef GOOSEBERRYROCK_MONITORING_METRICS_SERVER_H_
+#define GOOSEBERRYROCK_MONITORING_METRICS_SERVER_H_
+
+#include <functional>
+#include <memory>
+
+namespace gooseberryrock::telemetry {
+struct Metrics;
+}  // namespace gooseberryrock::telemetry
+
+namespace gooseberryrock::transport {
+class IoThread;
+struct Endpoint;
+}  // namespace gooseberryrock::transport
+
+namespace gooseberryrock::monitoring {
+
+class MetricsServer {
+ public:
+  // Answers `GET /metrics` on `thread`, which outlives the server and is
+  // stopped before it is destroyed. `update` is called before each page, to set
+  // the gauges. Throws TransportError when the address cannot be used.
+  MetricsServer(transport::IoThread& thread,
+                const transport::Endpoint& endpoint,
+                const telemetry::Metrics& metrics,
+                std::function<void()> update);
+  MetricsServer(const MetricsServer&) = delete;
+  MetricsServer& operator=(const MetricsServer&) = delete;
+  ~MetricsServer();
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace gooseberryrock::monitoring
+
+#endif  // GOOSEBERRYROCK_MONITORING_METRICS_SERVER_H_
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -1,6 +1,7 @@
 // A node of the query tier.
 
 #include "gooseberryrock/node/node.h"
+#include "gooseberryrock/monitoring/peer_counters.h"
 
 #include <algorithm>
 #include <chrono>
@@ -15,6 +16,7 @@
 
 #include "gooseberryrock/control/control_client.h"
 #include "gooseberryrock/control/control_machine.h"
+#include "gooseberryrock/control/log_gauges.h"
 #include "gooseberryrock/control/replicated_log.h"
 #include "gooseberryrock/http/http_request.h"
 #include "gooseberryrock/http/http_server.h"
@@ -321,7 +323,7 @@
     SetCatalogGauges(metrics, catalog, now);
     SetClusterGauges(metrics, cluster, directory, now);
     if (log) {
-      SetLogGauges(metrics, log->Status(), settings.node);
+      control::SetLogGauges(metrics, log->Status(), settings.node);
     }
     telemetry::SetGauge(metrics, telemetry::Gauge::kQueriesInFlight,
                         static_cast<double>(gate.InFlight()));
@@ -329,7 +331,7 @@
     telemetry::SetGauge(metrics, telemetry::Gauge::kReady, ready ? 1 : 0);
     std::lock_guard lock(stats_mutex);
     const peer::PeerStats stats = socket.Stats();
-    CountPeerFrames(metrics, counted, stats);
+    monitoring::CountPeerFrames(metrics, counted, stats);
     counted = stats;
   }
 
--- a/libs/node/src/node_gauges.cc
+++ b/libs/node/src/node_gauges.cc
@@ -3,23 +3,18 @@
 #include "gooseberryrock/node/node_gauges.h"
 
 #include <algorithm>
-#include <array>
 #include <chrono>
-#include <utility>
 
-#include "gooseberryrock/control/log_status.h"
 #include "gooseberryrock/directory/server_record.h"
 #include "gooseberryrock/node/catalog_keeper.h"
 #include "gooseberryrock/node/cluster_view.h"
 #include "gooseberryrock/node/directory_keeper.h"
-#include "gooseberryrock/peer/peer_stats.h"
 #include "gooseberryrock/telemetry/metrics.h"
 
 namespace gooseberryrock::node {
 
 namespace {
 
-using telemetry::Counter;
 using telemetry::Gauge;
 using telemetry::SetGauge;
 
@@ -58,36 +53,4 @@
   SetGauge(metrics, Gauge::kServersDraining, draining);
 }
 
-void SetLogGauges(telemetry::Metrics& metrics,
-                  const control::LogStatus& status,
-                  const NodeId& self) {
-  SetGauge(metrics, Gauge::kIsLeader, status.leader == self ? 1 : 0);
-  SetGauge(metrics, Gauge::kHasLeader, status.leader.empty() ? 0 : 1);
-  SetGauge(metrics, Gauge::kTerm, static_cast<double>(status.term));
-  SetGauge(metrics, Gauge::kCommitIndex,
-           static_cast<double>(status.commit_index));
-  const bool refused = status.storage_failed || status.suspended;
-  SetGauge(metrics, Gauge::kStorageRefused, refused ? 1 : 0);
-}
-
-void CountPeerFrames(telemetry::Metrics& metrics,
-                     const peer::PeerStats& before,
-                     const peer::PeerStats& now) {
-  using peer::FrameFault;
-  constexpr std::array kFaultCounters = {
-      std::pair{FrameFault::kWrongMac, Counter::kPeerFramesWrongMac},
-      std::pair{FrameFault::kOtherCluster, Counter::kPeerFramesOtherCluster},
-      std::pair{FrameFault::kOldVersion, Counter::kPeerFramesOldVersion},
-      std::pair{FrameFault::kOversized, Counter::kPeerFramesOversized},
-      std::pair{FrameFault::kTruncated, Counter::kPeerFramesTruncated}};
-  Increment(metrics, Counter::kPeerFramesSent,
-            now.sent_frames - before.sent_frames);
-  Increment(metrics, Counter::kPeerFramesReceived,
-            now.received_frames - before.received_frames);
-  for (const auto& [fault, counter] : kFaultCounters) {
-    const auto i = static_cast<size_t>(fault);
-    Increment(metrics, counter, now.refused.at(i) - before.refused.at(i));
-  }
-}
-
 }  // namespace gooseberryrock::node
--- a/libs/settings/include/gooseberryrock/settings/tier_settings.h
+++ b/libs/settings/include/gooseberryrock/settings/tier_settings.h
@@ -35,6 +35,8 @@
   // Only for an entry node.
   Address caller_address;
   Address ready_address;
+  // Where the metrics are served; nowhere when the host is empty.
+  Address metrics_address;
   unsigned cores = 1;
   // Attempts beyond the first of a request that all entry nodes together may
   // send to a service: this share of its requests and a fixed number in each
--- a/libs/settings/src/tier_settings.cc
+++ b/libs/settings/src/tier_settings.cc
@@ -125,6 +125,8 @@
   settings.control_address = ReadAddressText(root, "control_address", control);
   settings.caller_address = ReadAddressText(root, "caller_address", entry);
   settings.ready_address = ReadAddressText(root, "ready_address", entry);
+  settings.metrics_address =
+      ReadAddressText(root, "metrics_address", Presence::kOptional);
   settings.cores = static_cast<unsigned>(
       ReadInteger(root, "cores", Presence::kOptional, kCores, settings.cores));
   settings.tolerated_losses = static_cast<uint32_t>(
--- a/libs/telemetry/include/gooseberryrock/telemetry/metric_names.h
+++ b/libs/telemetry/include/gooseberryrock/telemetry/metric_names.h
@@ -26,6 +26,12 @@
   kClaimsOutcomeUnknown,
   kCommandsAccepted,
   kCommandsRefused,
+  kRequestsWithoutRoute,
+  kCallersGone,
+  kForeignReplies,
+  kServerConnectsFailed,
+  kRoutesStored,
+  kRoutesRefused,
   kPeerFramesSent,
   kPeerFramesReceived,
   kPeerFramesWrongMac,
@@ -50,6 +56,9 @@
   kCommitIndex,
   kStorageRefused,
   kReady,
+  kRoutesVersion,
+  kControlAnswerAgeSeconds,
+  kEntryNodes,
   kCount,
 };
 
--- a/libs/telemetry/src/metric_names.cc
+++ b/libs/telemetry/src/metric_names.cc
@@ -35,6 +35,16 @@
     {"gbr_commands_accepted_total", "Operator commands accepted."},
     {"gbr_commands_refused_total",
      "Operator commands that were invalid, in conflict or not run."},
+    {"gbr_requests_without_route_total",
+     "Requests that no route in force leads anywhere."},
+    {"gbr_callers_gone_total",
+     "Requests whose caller closed its connection before the answer."},
+    {"gbr_foreign_replies_total",
+     "Replies of backend servers to another request than the one sent."},
+    {"gbr_server_connects_failed_total",
+     "Connections to backend servers that could not be opened."},
+    {"gbr_routes_stored_total", "Sets of routes acknowledged as stored."},
+    {"gbr_routes_refused_total", "Sets of routes refused as invalid."},
     {"gbr_peer_frames_sent_total", "Frames sent to other nodes."},
     {"gbr_peer_frames_received_total", "Frames accepted from other nodes."},
     {"gbr_peer_frames_wrong_mac_total",
@@ -62,7 +72,11 @@
     {"gbr_storage_refused",
      "1 when this control node does not vote because its data folder is not "
      "the one in the membership."},
-    {"gbr_ready", "1 when /readyz succeeds."},
+    {"gbr_ready", "1 when the balancer is told that this node is ready."},
+    {"gbr_routes_version", "Version of the routes in force at this node."},
+    {"gbr_control_answer_age_seconds",
+     "Time since a control VM answered this entry node."},
+    {"gbr_entry_nodes", "Entry nodes that share the servers' limits."},
 }};
 
 // A name that is missing at the end would leave an empty element.
--- a/tests/process/tier_cluster.cc
+++ b/tests/process/tier_cluster.cc
@@ -27,6 +27,7 @@
 constexpr uint16_t kControlPort = 21224;
 constexpr uint16_t kCallerPort = 21226;
 constexpr uint16_t kReadyPort = 21227;
+constexpr uint16_t kMetricsPort = 21228;
 constexpr size_t kMaxBody = size_t{4} << 20U;
 
 std::string ControlHost(size_t i) {
@@ -124,6 +125,7 @@
       {"control_address", host + ":" + std::to_string(kControlPort)},
       {"caller_address", host + ":" + std::to_string(kCallerPort)},
       {"ready_address", host + ":" + std::to_string(kReadyPort)},
+      {"metrics_address", host + ":" + std::to_string(kMetricsPort)},
       {"stop_time_s", 4}};
   for (size_t i = 0; i < kControlVms; ++i) {
     settings["control_vms"].push_back(ControlHost(i) + ":" +
@@ -246,6 +248,20 @@
   return Call(EntryHost(entry), kCallerPort, std::move(request));
 }
 
+std::string TierCluster::EntryMetrics(size_t i) {
+  return Metrics(EntryHost(i));
+}
+
+std::string TierCluster::ControlMetrics(size_t i) {
+  return Metrics(ControlHost(i));
+}
+
+std::string TierCluster::Metrics(const std::string& host) {
+  const auto page = Call(host, kMetricsPort,
+                         transport::Request(http::verb::get, "/metrics", 11));
+  return page && page->result() == http::status::ok ? page->body() : "";
+}
+
 bool TierCluster::PutRoutes(uint64_t version) {
   const std::string body = RoutesDocument(version).dump();
   for (int i = 0; i < 40; ++i) {
--- a/tests/process/tier_cluster.h
+++ b/tests/process/tier_cluster.h
@@ -60,6 +60,9 @@
   uint64_t ReadVersion(size_t control);
   // Asks until the entry node answers with status 200 or `timeout` has passed.
   bool WaitForService(size_t entry, Duration timeout);
+  // The metrics pages; empty when they are not served.
+  std::string EntryMetrics(size_t i);
+  std::string ControlMetrics(size_t i);
   // How often the stand-in servers ran each request that must not run twice.
   std::map<std::string, int> Executions();
 
@@ -69,6 +72,7 @@
                      const std::string& host,
                      const std::string& data_folder,
                      bool first_start) const;
+  std::string Metrics(const std::string& host);
   void AnswerAsServer(size_t server, transport::Exchange& exchange);
   void Announce();
 
--- a/tests/process/tier_test.cc
+++ b/tests/process/tier_test.cc
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <chrono>
 #include <csignal>
+#include <optional>
 #include <thread>
 
 #include "tier_cluster.h"
@@ -66,6 +67,50 @@
       http::status::bad_request);
 }
 
+// The value of the metric with these labels; nothing when the page lacks it.
+std::optional<double> ValueOf(const std::string& page,
+                              const std::string& name) {
+  const size_t at = page.find("\n" + name + " ");
+  return at == std::string::npos
+             ? std::nullopt
+             : std::optional(std::stod(page.substr(at + name.size() + 2)));
+}
+
+// Guards against nodes whose state can only be seen in their logs, and against
+// answers that are counted under another route or rank.
+TEST_F(TierTest, MetricsShowAnswersAndRoutes) {
+  ASSERT_TRUE(cluster_.PutRoutes(5));
+  ASSERT_TRUE(cluster_.WaitForService(0, seconds(10)));
+  const std::string name =
+      R"(gbr_answers_total{service="gathered",rank="normal",tenant="h",)"
+      R"(status="complete"})";
+  const double before = ValueOf(cluster_.EntryMetrics(0), name).value_or(0);
+  for (int n = 0; n < 5; ++n) {
+    ASSERT_TRUE(cluster_.Ask(0, "GET", "/all/x"));
+  }
+  ASSERT_TRUE(cluster_.Ask(0, "GET", "/none/"));
+  const std::string entry = cluster_.EntryMetrics(0);
+  EXPECT_EQ(ValueOf(entry, name), before + 5);
+  EXPECT_EQ(ValueOf(entry, "gbr_requests_without_route_total"), 1);
+  EXPECT_EQ(ValueOf(entry, "gbr_routes_version"), 5);
+  EXPECT_EQ(ValueOf(entry, "gbr_ready"), 1);
+  EXPECT_GE(ValueOf(entry, "gbr_attempts_sent_total"), 15);
+  int leaders = 0;
+  for (size_t i = 0; i < kControlVms; ++i) {
+    // A majority has the routes at once, the last VM a little later.
+    std::string control;
+    const auto end = std::chrono::steady_clock::now() + seconds(2);
+    do {
+      control = cluster_.ControlMetrics(i);
+    } while (ValueOf(control, "gbr_routes_version") != 5 &&
+             std::chrono::steady_clock::now() < end);
+    EXPECT_EQ(ValueOf(control, "gbr_routes_version"), 5);
+    EXPECT_EQ(ValueOf(control, "gbr_servers_ready"), 8);
+    leaders += ValueOf(control, "gbr_is_leader") == 1 ? 1 : 0;
+  }
+  EXPECT_EQ(leaders, 1);
+}
+
 // Guards against acknowledged routes that are lost or shown in an older state
 // when all control VMs are killed at once.
 TEST_F(TierTest, KeepsRoutesWhenAllControlVmsAreKilled) {
