relay: extra attempts also earned by time; a second slow reply in a row counts more

The users' allowance holds anew in each window, which a bucket filled by requests alone does not use. (2) A node that sends a server less than one request a second went back to a slow server after each slow reply. Ruled out: the connection limits (no resets). Change: a part of the allowance is earned by time; a slow reply that confirms the one before it has a weight of 0.6 instead of 0.2.

--- a/apps/node/tier_commands.cc
+++ b/apps/node/tier_commands.cc
@@ -150,8 +150,8 @@
   entry.ready_endpoint = EndpointOf(settings.ready_address);
   entry.metrics_endpoint = EndpointOf(settings.metrics_address);
   entry.io_shards = settings.cores;
-  entry.extra_attempts = {settings.extra_attempt_share,
-                          settings.extra_attempts};
+  entry.extra_attempts = {settings.extra_attempt_share, settings.extra_attempts,
+                          settings.extra_attempt_window};
   entry.stop_time = settings.stop_time;
   const sigset_t signals = BlockSignals();
   entry::EntryNode node(entry, platform::EntryDialect());
--- a/libs/query/include/gooseberryrock/query/attempt_budget.h
+++ b/libs/query/include/gooseberryrock/query/attempt_budget.h
@@ -5,6 +5,8 @@
 #ifndef GOOSEBERRYROCK_QUERY_ATTEMPT_BUDGET_H_
 #define GOOSEBERRYROCK_QUERY_ATTEMPT_BUDGET_H_
 
+#include "gooseberryrock/base/time.h"
+
 namespace gooseberryrock::query {
 
 struct AttemptBudget {
@@ -14,8 +16,15 @@
   double capacity = 20;
   // Extra attempts at hand, in [0, capacity].
   double tokens = 5;
+  // Extra attempts earned by each second, whatever the work.
+  double per_second = 0;
+  // When those were added last.
+  SteadyTime refilled_at = {};
 };
 
+// Adds what the time up to `now` earns.
+void RefillBudget(AttemptBudget& budget, SteadyTime now);
+
 // Adds what `first_attempts` first attempts earn.
 void EarnBudget(AttemptBudget& budget, double first_attempts);
 
--- a/libs/query/src/attempt_budget.cc
+++ b/libs/query/src/attempt_budget.cc
@@ -1,8 +1,9 @@
-// A token bucket that is filled by work instead of time.
+// A token bucket that is filled by work and, where wanted, by time.
 
 #include "gooseberryrock/query/attempt_budget.h"
 
 #include <algorithm>
+#include <chrono>
 
 namespace gooseberryrock::query {
 
@@ -11,6 +12,13 @@
       std::min(budget.capacity, budget.tokens + budget.share * first_attempts);
 }
 
+void RefillBudget(AttemptBudget& budget, SteadyTime now) {
+  const std::chrono::duration<double> passed = now - budget.refilled_at;
+  budget.refilled_at = now;
+  budget.tokens = std::min(budget.capacity,
+                           budget.tokens + budget.per_second * passed.count());
+}
+
 bool SpendBudget(AttemptBudget& budget) {
   if (budget.tokens < 1) {
     return false;
--- a/libs/relay/include/gooseberryrock/relay/relay_policy.h
+++ b/libs/relay/include/gooseberryrock/relay/relay_policy.h
@@ -56,9 +56,11 @@
   // Part of the limit's share that each first attempt earns. The rest is for
   // attempts that are under way when a window ends.
   double used_share = 0.85;
-  // Part of the limit's attempts that the nodes may save up together. The rest
-  // is for nodes that restart and begin with a full budget.
-  double used_attempts = 0.7;
+  // Parts of the limit's attempts that the nodes together may save up, and that
+  // they earn in each window. Both can fall into the same one; the rest is for
+  // nodes that restart and begin with a full budget.
+  double saved_attempts = 0.55;
+  double earned_attempts = 0.35;
   // Nodes that are assumed to divide the limit while their number is not known:
   // those of today's deployments, with the added ones.
   uint32_t assumed_nodes = 9;
--- a/libs/relay/src/request_machine.cc
+++ b/libs/relay/src/request_machine.cc
@@ -352,6 +352,7 @@
   }
   for (size_t i = 0; i < state.parts.size(); ++i) {
     RequestPart& part = state.parts[i];
+    query::RefillBudget(part.pool->budget, now);
     query::EarnBudget(part.pool->budget, 1);
     if (!part.skipped &&
         !AddAttempt(state, i, AttemptCause::kFirst, Reach::kAnyServer, context,
--- a/libs/relay/src/server_stats.cc
+++ b/libs/relay/src/server_stats.cc
@@ -15,6 +15,14 @@
 // a quarter of a second at today's rates.
 constexpr double kSlownessWeight = 0.2;
 constexpr double kFailureWeight = 0.1;
+// A second slow reply in a row counts more: a pause seldom meets two attempts
+// that were sent one after the other, and a node of a large fleet sends a
+// server less than one a second.
+constexpr double kConfirmedWeight = 0.6;
+// Times the usual time from which a reply is slow, and what one slow reply
+// leaves behind for the next one to confirm.
+constexpr double kSlowReply = 2.5;
+constexpr double kSuspectedSlowness = 1.3;
 // A single sample counts at most this much, so that one reply after a pause of
 // the server does not divert the work of the next second.
 constexpr double kMostSlowness = 6;
@@ -67,7 +75,10 @@
       std::clamp(Seconds(now - sent_at) / std::max(Seconds(typical), 1e-6),
                  kLeastSlowness, kMostSlowness);
   stats.slowness = SlownessAt(stats, policy, now);
-  stats.slowness += kSlownessWeight * (sample - stats.slowness);
+  const bool confirmed =
+      sample >= kSlowReply && stats.slowness >= kSuspectedSlowness;
+  stats.slowness += (confirmed ? kConfirmedWeight : kSlownessWeight) *
+                    (sample - stats.slowness);
   stats.counted_at = now;
 }
 
--- a/libs/relay/src/service_pool.cc
+++ b/libs/relay/src/service_pool.cc
@@ -3,6 +3,7 @@
 #include "gooseberryrock/relay/service_pool.h"
 
 #include <algorithm>
+#include <chrono>
 
 #include "gooseberryrock/base/hash.h"
 #include "gooseberryrock/relay/relay_policy.h"
@@ -29,10 +30,12 @@
                   const RelayPolicy& policy,
                   uint32_t holders) {
   const ExtraAttemptLimit& limit = policy.extra_attempts;
+  const double attempts = limit.attempts / std::max<double>(holders, 1);
   pool.budget.share = limit.share * policy.used_share;
   // One whole attempt at least: with less a pool could never make any.
-  pool.budget.capacity = std::max(1.0, limit.attempts * policy.used_attempts /
-                                           std::max<double>(holders, 1));
+  pool.budget.capacity = std::max(1.0, attempts * policy.saved_attempts);
+  pool.budget.per_second = attempts * policy.earned_attempts /
+                           std::chrono::duration<double>(limit.window).count();
   pool.budget.tokens = std::min(pool.budget.tokens, pool.budget.capacity);
 }
 
--- a/libs/settings/include/gooseberryrock/settings/tier_settings.h
+++ b/libs/settings/include/gooseberryrock/settings/tier_settings.h
@@ -40,9 +40,10 @@
   unsigned cores = 1;
   // Attempts beyond the first of a request that all entry nodes together may
   // send to a service: this share of its requests and a fixed number in each
-  // 10 s. The defaults are those of today's smallest deployment.
+  // window. The defaults are those of today's smallest deployment.
   double extra_attempt_share = 0.2;
   double extra_attempts = 52;
+  Duration extra_attempt_window = std::chrono::seconds(10);
   // VMs whose loss the replicated log has to bear at the same time.
   uint32_t tolerated_losses = 1;
   // From the stop signal to the end of the process.
--- a/libs/settings/src/tier_settings.cc
+++ b/libs/settings/src/tier_settings.cc
@@ -3,6 +3,7 @@
 #include "gooseberryrock/settings/tier_settings.h"
 
 #include <charconv>
+#include <chrono>
 #include <fstream>
 #include <optional>
 #include <sstream>
@@ -21,8 +22,8 @@
 constexpr Range kTextLength = {0, 4096};
 constexpr Range kCores = {1, 256};
 constexpr Range kLosses = {0, 5};
-constexpr double kLeastStopSeconds = 1;
-constexpr double kMostStopSeconds = 600;
+constexpr double kLeastSeconds = 1;
+constexpr double kMostSeconds = 600;
 constexpr double kMostExtraShare = 1;
 constexpr double kMostExtraAttempts = 1e6;
 constexpr size_t kMaxControlVms = 64;
@@ -74,6 +75,15 @@
   return address.value_or(Address());
 }
 
+Duration ReadSeconds(const JsonObject& root,
+                     std::string_view key,
+                     Duration value_if_missing) {
+  using Seconds = std::chrono::duration<double>;
+  return std::chrono::duration_cast<Duration>(
+      Seconds(ReadNumber(root, key, kLeastSeconds, kMostSeconds,
+                         Seconds(value_if_missing).count())));
+}
+
 std::vector<Address> ReadControlVms(const JsonObject& root) {
   std::vector<Address> addresses;
   const Json* field = FindField(root, "control_vms", Presence::kRequired);
@@ -137,10 +147,9 @@
                  settings.extra_attempt_share);
   settings.extra_attempts = ReadNumber(
       root, "extra_attempts", 0, kMostExtraAttempts, settings.extra_attempts);
-  using Seconds = std::chrono::duration<double>;
-  settings.stop_time = std::chrono::duration_cast<Duration>(Seconds(
-      ReadNumber(root, "stop_time_s", kLeastStopSeconds, kMostStopSeconds,
-                 Seconds(settings.stop_time).count())));
+  settings.extra_attempt_window = ReadSeconds(root, "extra_attempt_window_s",
+                                              settings.extra_attempt_window);
+  settings.stop_time = ReadSeconds(root, "stop_time_s", settings.stop_time);
   if (!problems.empty()) {
     std::string message;
     for (const std::string& it : problems) {
--- a/tests/relay/request_machine_test.cc
+++ b/tests/relay/request_machine_test.cc
@@ -203,6 +203,7 @@
   DivideBudget(pool, policy, kNodes);
   uint32_t spent = 0;
   for (int n = 0; n < kRequests; ++n) {
+    query::RefillBudget(pool.budget, kStart + n * Ms(10000) / kRequests);
     query::EarnBudget(pool.budget, 1);
     while (query::SpendBudget(pool.budget)) {
       ++spent;
--- a/tests/relay/server_stats_test.cc
+++ b/tests/relay/server_stats_test.cc
@@ -39,6 +39,16 @@
   EXPECT_LT(SlownessAt(stats_, policy_, now + std::chrono::seconds(10)), 1.3);
 }
 
+// Guards against a slow server that a node of a large fleet, which sends it a
+// request every 700 ms, goes back to each time: the cost of another failure
+// domain is that of a server that takes twice the usual time.
+TEST_F(ServerStatsTest, SecondSlowReplyIsEnough) {
+  Record(AttemptResult::kAnswered, kStart, kStart + Ms(110));
+  EXPECT_LE(stats_.slowness, 2);
+  Record(AttemptResult::kAnswered, kStart + Ms(700), kStart + Ms(810));
+  EXPECT_GT(SlownessAt(stats_, policy_, kStart + Ms(2000)), 2);
+}
+
 // Guards against a lost server that is tried by each request, and against one
 // that is never tried again.
 TEST_F(ServerStatsTest, WaitGrowsWithFailuresUpToALimit) {
