control, entry: servers of before a restart are remembered; relay: late requests that waited still run

Ruled out: the election (routes and servers are handed out without a leader), time of the processes' start (30 ms of processor time), connection limits (76 resets). Change: (1) a control VM keeps the list of ready servers on disk, written at most once a second by a worker, not synced before any acknowledgement; after a restart it names them to entry nodes, which use them for 2.5 s unless they announce themselves. (2) beyond its target a request is refused only when its deadline cannot be met.

--- a/libs/control/src/control_node.cc
+++ b/libs/control/src/control_node.cc
@@ -30,6 +30,9 @@
 #include "gooseberryrock/peer/peer_socket.h"
 #include "gooseberryrock/proto/binary_codec.h"
 #include "gooseberryrock/proto/malformed_message_error.h"
+#include "gooseberryrock/storage/file_operations.h"
+#include "gooseberryrock/storage/server_list.h"
+#include "gooseberryrock/storage/storage_error.h"
 #include "gooseberryrock/telemetry/log_event.h"
 #include "gooseberryrock/telemetry/metrics.h"
 #include "gooseberryrock/transport/exchange.h"
@@ -65,6 +68,12 @@
 constexpr unsigned kWorkers = 10;
 constexpr size_t kMaxWaitingCalls = 64;
 constexpr size_t kMaxCallBytes = size_t{4} << 20U;
+// Servers that were known before this VM started are named to entry nodes for
+// this long: two announcements of today's servers, 1.2 s apart.
+constexpr Duration kRememberedTime = std::chrono::milliseconds(2500);
+// The list of servers is written to disk this often at most; it only has to be
+// about right after a restart.
+constexpr Duration kSaveServersInterval = std::chrono::seconds(1);
 // Calls that are in progress when the VM stops get this long.
 constexpr Duration kStopTime = std::chrono::seconds(2);
 constexpr Duration kStopCheck = std::chrono::milliseconds(20);
@@ -121,6 +130,7 @@
     socket.emplace(SocketOptions(settings, incarnation),
                    [this](const peer::PeerFrame& it) { OnFrame(it); });
     AddControlVms(settings.control_vms);
+    RememberServers();
     log.emplace(LogOptions(settings),
                 MakeStateMachine(
                     state, [](const auto& /*catalog*/) {},
@@ -349,7 +359,7 @@
     const LogStatus status = log->Status();
     reply.set_current(status.contact_at &&
                       now - *status.contact_at < kContactTime);
-    registry.AnswerPoll(poll, reply);
+    registry.AnswerPoll(poll, reply, now);
     for (const NodeId& it : peers.Vms()) {
       reply.add_control_vms(it.value);
     }
@@ -398,6 +408,7 @@
         SendHellos(now);
       }
       RepairMembership(now);
+      SaveServers(now);
       lock.lock();
       changed.wait_for(lock, kRepairInterval, [this] { return stopping; });
     }
@@ -431,6 +442,45 @@
     }
   }
 
+  void RememberServers() {
+    try {
+      auto records = storage::LoadServerList(storage::PosixFileOperations(),
+                                             settings.data_folder);
+      telemetry::LogEvent(LogLevel::kInfo, "servers_loaded",
+                          {{"servers", std::to_string(records.size())}});
+      registry.Remember(std::move(records), started_at + kRememberedTime);
+    } catch (const storage::StorageError& e) {
+      telemetry::LogEvent(LogLevel::kWarning, "servers_not_loaded",
+                          {{"error", e.what()}});
+    }
+  }
+
+  // Keeps the list of servers for the next start. The one of the last start is
+  // kept until the servers have had the time to announce themselves.
+  void SaveServers(SteadyTime now) {
+    const uint64_t count = registry.ChangeCount();
+    if (saving_servers || count == saved_count || now < next_save ||
+        now < started_at + kRememberedTime) {
+      return;
+    }
+    next_save = now + kSaveServersInterval;
+    saving_servers = true;
+    const bool posted = workers->Post([this, count] {
+      try {
+        storage::SaveServerList(storage::PosixFileOperations(),
+                                settings.data_folder, registry.ReadyServers());
+        saved_count = count;
+      } catch (const storage::StorageError& e) {
+        telemetry::LogEvent(LogLevel::kWarning, "servers_not_saved",
+                            {{"error", e.what()}});
+      }
+      saving_servers = false;
+    });
+    if (!posted) {
+      saving_servers = false;
+    }
+  }
+
   void RepairMembership(SteadyTime now) {
     const LogStatus status = log->Status();
     if (status.leader != settings.node || repair_pending) {
@@ -474,6 +524,11 @@
   // Guarded by `frame_mutex`. Frames are handled while all parts are there.
   bool started = false;
   std::atomic<bool> repair_pending = false;
+  // A disk that hangs holds up one worker and nothing else.
+  std::atomic<bool> saving_servers = false;
+  std::atomic<uint64_t> saved_count = 0;
+  // Used by the upkeep thread only.
+  SteadyTime next_save;
 
   telemetry::Metrics metrics;
   // Used on the I/O thread only.
--- a/libs/control/src/registry.cc
+++ b/libs/control/src/registry.cc
@@ -126,7 +126,8 @@
 }
 
 void Registry::AnswerPoll(const proto::EntryPoll& poll,
-                          proto::EntryPollReply& reply) const {
+                          proto::EntryPollReply& reply,
+                          SteadyTime now) const {
   reply.set_without_directory(poll.without_directory());
   if (poll.without_directory()) {
     return;
@@ -143,6 +144,38 @@
     *reply.add_records() = proto::ToMessage(record);
   }
   reply.set_directory_count(directory_.change_count);
+  if (poll.directory_incarnation() == incarnation_ ||
+      now >= remembered_until_) {
+    return;
+  }
+  for (const directory::ServerRecord& it : remembered_) {
+    if (!directory_.entries.contains(it.id)) {
+      *reply.add_remembered() = proto::ToMessage(it);
+    }
+  }
+}
+
+void Registry::Remember(std::vector<directory::ServerRecord> records,
+                        SteadyTime until) {
+  std::lock_guard lock(mutex_);
+  remembered_ = std::move(records);
+  remembered_until_ = until;
+}
+
+std::vector<directory::ServerRecord> Registry::ReadyServers() const {
+  std::lock_guard lock(mutex_);
+  std::vector<directory::ServerRecord> records;
+  for (const auto& [id, entry] : directory_.entries) {
+    if (entry.record.state == directory::ServerState::kReady) {
+      records.push_back(entry.record);
+    }
+  }
+  return records;
+}
+
+uint64_t Registry::ChangeCount() const {
+  std::lock_guard lock(mutex_);
+  return directory_.change_count;
 }
 
 ServerCounts Registry::CountServers() const {
--- a/libs/control/src/registry.h
+++ b/libs/control/src/registry.h
@@ -59,10 +59,18 @@
 
   // Adds the records that changed since the poll.
   void AnswerPoll(const proto::EntryPoll& poll,
-                  proto::EntryPollReply& reply) const;
+                  proto::EntryPollReply& reply,
+                  SteadyTime now) const;
 
   ServerCounts CountServers() const;
 
+  // Names `records` to entry nodes up to `until`, as far as their servers have
+  // not announced themselves since this VM started.
+  void Remember(std::vector<directory::ServerRecord> records, SteadyTime until);
+  std::vector<directory::ServerRecord> ReadyServers() const;
+  // Rises with each change.
+  uint64_t ChangeCount() const;
+
  private:
   void SendDeltas(const std::vector<NodeId>& peers);
 
@@ -75,6 +83,8 @@
   directory::Directory directory_;
   directory::DirectoryExchange exchange_;
   SteadyTime next_digest_;
+  std::vector<directory::ServerRecord> remembered_;
+  SteadyTime remembered_until_;
 };
 
 }  // namespace gooseberryrock::control
--- a/libs/entry/include/gooseberryrock/entry/server_book.h
+++ b/libs/entry/include/gooseberryrock/entry/server_book.h
@@ -15,11 +15,20 @@
 
 namespace gooseberryrock::entry {
 
+// A server that a control VM knew before it started again, used until the
+// server announces itself or `until` has passed.
+struct RememberedServer {
+  directory::ServerRecord record;
+  SteadyTime until;
+};
+
 struct ServerBook {
   directory::Directory directory;
   // The newest server at each address. An address is used again by another
   // server some time after its earlier one has ended.
   std::map<std::pair<std::string, uint16_t>, BackendServerId> by_address;
+  // None of them is in `directory`.
+  std::map<BackendServerId, RememberedServer> remembered;
 };
 
 // Takes over the records that are newer than the known ones, and returns the
@@ -29,6 +38,15 @@
     const std::vector<directory::ServerRecord>& records,
     SteadyTime now);
 
+// Uses those of `records` of which nothing else is known, until `until`.
+std::vector<ServerChange> RememberServers(
+    ServerBook& book,
+    const std::vector<directory::ServerRecord>& records,
+    SteadyTime until);
+
+// Stops using the remembered servers that have not announced themselves.
+std::vector<ServerChange> ForgetRemembered(ServerBook& book, SteadyTime now);
+
 }  // namespace gooseberryrock::entry
 
 #endif  // GOOSEBERRYROCK_ENTRY_SERVER_BOOK_H_
--- a/libs/entry/src/control_link.cc
+++ b/libs/entry/src/control_link.cc
@@ -44,6 +44,11 @@
 // ask others for a while.
 constexpr Duration kKeepConnected = std::chrono::seconds(10);
 
+// Remembered servers are used for this long: two announcements of today's
+// servers, each 1.2 s after the one before. What a server said just before all
+// VMs lost power is forgotten with them, so it must not be longer.
+constexpr Duration kRememberedTime = std::chrono::milliseconds(2500);
+
 struct ControlVm {
   FailureDomain domain;
   std::optional<SteadyTime> answered_at;
@@ -103,6 +108,12 @@
     std::unique_lock lock(mutex);
     while (!stopping) {
       Poll();
+      const auto forgotten = ForgetRemembered(book, BootTime());
+      if (!forgotten.empty()) {
+        telemetry::LogEvent(LogLevel::kInfo, "remembered_servers_forgotten",
+                            {{"servers", std::to_string(forgotten.size())}});
+        events.on_servers(forgotten);
+      }
       changed.wait_for(lock,
                        routes_version == 0 ? kStartPollInterval : kPollInterval,
                        [this] { return stopping; });
@@ -228,6 +239,7 @@
         vm.incarnation = frame.incarnation;
         vm.directory_count = reply.directory_count();
         changes = MergeRecords(book, records, *vm.answered_at);
+        Remember(frame.sender, reply, *vm.answered_at, changes);
         has_directory = true;
       }
       if (plan) {
@@ -247,6 +259,25 @@
     }
   }
 
+  // `mutex` is held.
+  void Remember(const NodeId& control_vm,
+                const proto::EntryPollReply& reply,
+                SteadyTime now,
+                std::vector<ServerChange>& changes) {
+    std::vector<directory::ServerRecord> records;
+    for (const proto::ServerRecord& it : reply.remembered()) {
+      records.push_back(proto::FromMessage(it));
+    }
+    const auto remembered =
+        RememberServers(book, records, now + kRememberedTime);
+    if (!remembered.empty()) {
+      telemetry::LogEvent(LogLevel::kInfo, "servers_remembered",
+                          {{"control_vm", control_vm.value},
+                           {"servers", std::to_string(remembered.size())}});
+      changes.insert(changes.end(), remembered.begin(), remembered.end());
+    }
+  }
+
   // Nothing when the control VMs do not know this node yet.
   std::optional<ConnectionPlan> PlanOf(
       const proto::EntryPollReply& reply) const {
--- a/libs/entry/src/server_book.cc
+++ b/libs/entry/src/server_book.cc
@@ -36,6 +36,23 @@
   return true;
 }
 
+// `record` is what its server says now: nothing remembered of it or of another
+// server at its address counts any more.
+void DropRemembered(ServerBook& book,
+                    const directory::ServerRecord& record,
+                    std::vector<ServerChange>& changes) {
+  book.remembered.erase(record.id);
+  std::erase_if(book.remembered, [&](const auto& it) {
+    const directory::ServerRecord& other = it.second.record;
+    const bool replaced =
+        other.host == record.host && other.port == record.port;
+    if (replaced) {
+      changes.push_back({other, /*usable=*/false});
+    }
+    return replaced;
+  });
+}
+
 }  // namespace
 
 std::vector<ServerChange> MergeRecords(
@@ -47,10 +64,40 @@
     if (!directory::MergeRecord(book.directory, record, {}, now)) {
       continue;
     }
+    DropRemembered(book, record, changes);
     const bool holds_address = ClaimAddress(book, record, changes);
     changes.push_back({record, holds_address && TakesWork(record)});
   }
   return changes;
 }
 
+std::vector<ServerChange> RememberServers(
+    ServerBook& book,
+    const std::vector<directory::ServerRecord>& records,
+    SteadyTime until) {
+  std::vector<ServerChange> changes;
+  for (const directory::ServerRecord& record : records) {
+    const bool known = book.directory.entries.contains(record.id) ||
+                       book.by_address.contains({record.host, record.port});
+    if (!known && TakesWork(record) &&
+        book.remembered.try_emplace(record.id, RememberedServer{record, until})
+            .second) {
+      changes.push_back({record, /*usable=*/true});
+    }
+  }
+  return changes;
+}
+
+std::vector<ServerChange> ForgetRemembered(ServerBook& book, SteadyTime now) {
+  std::vector<ServerChange> changes;
+  std::erase_if(book.remembered, [&](const auto& it) {
+    const bool expired = now >= it.second.until;
+    if (expired) {
+      changes.push_back({it.second.record, /*usable=*/false});
+    }
+    return expired;
+  });
+  return changes;
+}
+
 }  // namespace gooseberryrock::entry
--- a/libs/relay/src/request_machine.cc
+++ b/libs/relay/src/request_machine.cc
@@ -301,7 +301,10 @@
           longest, expected < Duration::max() ? expected : Duration::zero());
     }
   }
-  const Duration left = state.settle_at - now;
+  // A request that has waited for the node to learn of servers may be beyond
+  // its target; a late answer is still wanted then.
+  const Duration left =
+      (now < state.settle_at ? state.settle_at : state.final_at) - now;
   if (longest <= left) {
     return std::nullopt;
   }
--- a/tests/entry/server_book_test.cc
+++ b/tests/entry/server_book_test.cc
@@ -67,5 +67,39 @@
   EXPECT_FALSE(Merge(Record("a", 1, kReady)).at(0).usable);
 }
 
+// Guards against a node that serves nothing after a loss of power until all
+// servers have announced themselves, and against a server that is used although
+// it has left meanwhile.
+TEST_F(ServerBookTest, RememberedServersAreUsedUntilTheyAnnounceThemselves) {
+  using std::chrono::seconds;
+  const std::vector<directory::ServerRecord> records = {
+      Record("a", 1, kReady, 80), Record("b", 1, kReady, 81),
+      Record("c", 1, kReady, 82), Record("d", 1, kReady, 83)};
+  Merge(Record("d", 2, kDraining, 83));
+  const auto used = RememberServers(book_, records, kNow + seconds(2));
+  ASSERT_EQ(used.size(), 3U);
+  EXPECT_TRUE(used[0].usable);
+  // a announces itself, b drains, and the address of c has another server.
+  EXPECT_TRUE(Merge(Record("a", 1, kReady, 80)).at(0).usable);
+  EXPECT_FALSE(Merge(Record("b", 1, kDraining, 81)).at(0).usable);
+  const auto replaced = Merge(Record("e", 1, kReady, 82));
+  ASSERT_EQ(replaced.size(), 2U);
+  EXPECT_EQ(replaced[0].record.id.value, "c");
+  EXPECT_FALSE(replaced[0].usable);
+  EXPECT_TRUE(ForgetRemembered(book_, kNow + seconds(3)).empty());
+}
+
+// Guards against a server that ended while all VMs were down and is tried for
+// ever.
+TEST_F(ServerBookTest, RememberedServersAreForgotten) {
+  using std::chrono::seconds;
+  RememberServers(book_, {Record("a", 1, kReady)}, kNow + seconds(2));
+  EXPECT_TRUE(ForgetRemembered(book_, kNow + seconds(1)).empty());
+  const auto forgotten = ForgetRemembered(book_, kNow + seconds(2));
+  ASSERT_EQ(forgotten.size(), 1U);
+  EXPECT_FALSE(forgotten[0].usable);
+  EXPECT_TRUE(book_.remembered.empty());
+}
+
 }  // namespace
 }  // namespace gooseberryrock::entry
--- a/tests/process/tier_cluster.cc
+++ b/tests/process/tier_cluster.cc
@@ -173,7 +173,7 @@
 
 void TierCluster::Announce() {
   for (uint64_t sequence = 1; !stopping_; ++sequence) {
-    for (size_t i = 0; i < kServers && !stopping_; ++i) {
+    for (size_t i = 0; i < kServers && !stopping_ && !silent_; ++i) {
       const json body = {
           {"service", ServiceOf(i)},
           {"address", "127.0.0.1:" + std::to_string(servers_[i]->port())},
--- a/tests/process/tier_cluster.h
+++ b/tests/process/tier_cluster.h
@@ -63,6 +63,8 @@
   // The metrics pages; empty when they are not served.
   std::string EntryMetrics(size_t i);
   std::string ControlMetrics(size_t i);
+  // The stand-in servers announce themselves unless this is set.
+  void SetSilent(bool silent) { silent_ = silent; }
   // How often the stand-in servers ran each request that must not run twice.
   std::map<std::string, int> Executions();
 
@@ -86,6 +88,7 @@
   std::vector<std::unique_ptr<Process>> entries_;
   std::atomic<uint64_t> next_request_ = 1;
   std::atomic<bool> stopping_ = false;
+  std::atomic<bool> silent_ = false;
   std::thread announcer_;
 };
 
--- a/tests/process/tier_test.cc
+++ b/tests/process/tier_test.cc
@@ -132,6 +132,36 @@
   }
 }
 
+// Guards against nodes that serve nothing after the loss of all processes until
+// the servers announce themselves again, and against servers that are used for
+// ever although they do not.
+TEST_F(TierTest, RemembersServersWhenAllProcessesAreKilled) {
+  ASSERT_TRUE(cluster_.PutRoutes(5));
+  ASSERT_TRUE(cluster_.WaitForService(0, seconds(10)));
+  // The list of servers is saved first 2.5 s after the start.
+  std::this_thread::sleep_for(seconds(4));
+  cluster_.SetSilent(true);
+  // The last announcements have arrived by then.
+  std::this_thread::sleep_for(milliseconds(500));
+  for (size_t i = 0; i < kControlVms; ++i) {
+    cluster_.Control(i).Signal(SIGKILL);
+  }
+  cluster_.Entry(0).Signal(SIGKILL);
+  cluster_.Entry(0).WaitForEnd(seconds(2));
+  for (size_t i = 0; i < kControlVms; ++i) {
+    cluster_.Control(i).WaitForEnd(seconds(2));
+    cluster_.StartControl(i, /*first_start=*/false);
+  }
+  cluster_.StartEntry(0);
+  EXPECT_TRUE(cluster_.WaitForService(0, seconds(2)));
+  std::this_thread::sleep_for(seconds(3));
+  const auto reply = cluster_.Ask(0, "GET", "/all/x");
+  ASSERT_TRUE(reply);
+  EXPECT_EQ(reply->result(), http::status::service_unavailable);
+  cluster_.SetSilent(false);
+  EXPECT_TRUE(cluster_.WaitForService(0, seconds(2)));
+}
+
 // Guards against a control VM that lost its disk and stays without a vote: two
 // such losses, one after the other, leave what was acknowledged.
 TEST_F(TierTest, EmptyDisksAreRepairedWithoutAnOperator) {
--- a/tests/relay/request_machine_test.cc
+++ b/tests/relay/request_machine_test.cc
@@ -191,6 +191,23 @@
   EXPECT_EQ(std::get<GatheredOutcome>(*end.outcome).digests.size(), 10U);
 }
 
+// Guards against a request that waited while the node started and is then
+// refused as if the servers were overloaded: 150 ms of a target of 100 ms are
+// over, and of its deadline much is left.
+TEST(ParkedRequestTest, RequestBeyondItsTargetStillRuns) {
+  RelayFixture it(10);
+  const routes::Route route = ShardedRoute();
+  std::vector<ServicePool*> pools;
+  for (ServicePool& pool : it.pools) {
+    pools.push_back(&pool);
+  }
+  RequestState state =
+      MakeRequest(route, pools, it.policy, kStart - Ms(150), kStart + Ms(850));
+  const auto start = StartRequest(state, it.Context(), kStart);
+  EXPECT_FALSE(start.outcome);
+  EXPECT_EQ(start.send.size(), 10U);
+}
+
 // Guards against a fleet that exceeds the limit on extra attempts because each
 // node takes as many as a node of a small one: 81 nodes that all hedge in the
 // same 10 s in which each has had 14 requests, with a limit of 202 and 0.2.
