--- a/apps/ctl/main.cc
+++ b/apps/ctl/main.cc
@@ -11,6 +11,7 @@
 
 #include "ctl_options.h"
 #include "exit_code.h"
+#include "explain_command.h"
 #include "gooseberryrock/base/error.h"
 #include "operator.pb.h"
 #include "operator_commands.h"
@@ -48,6 +49,8 @@
   std::string storage_id;
   std::string peer_address;
   ctl::QueryArguments query;
+  std::string request_id;
+  std::vector<std::string> files;
 };
 
 void AddSharedOptions(CLI::App& app, Arguments& arguments) {
@@ -224,6 +227,20 @@
       [&] { action = [&] { return ctl::Query(arguments.options, query); }; });
 }
 
+void AddExplainCommand(CLI::App& app, Arguments& arguments, Action& action) {
+  CLI::App* sub = Add(app, "explain", "Say from logs why a request failed",
+                      "gbrctl explain 61b09e97f0076b10 entry-*.log");
+  sub->add_option("REQUEST_ID", arguments.request_id, "Id of the request")
+      ->required();
+  sub->add_option("FILE", arguments.files, "Logs of the nodes")->required();
+  sub->callback([&] {
+    action = [&] {
+      return ctl::Explain(arguments.options, arguments.request_id,
+                          arguments.files);
+    };
+  });
+}
+
 ExitCode ParseAndRun(CLI::App& app, int argc, char** argv) {
   Arguments arguments;
   Action action;
@@ -232,6 +249,7 @@
   AddCatalogCommands(app, arguments, action);
   AddMemberCommands(app, arguments, action);
   AddQueryCommand(app, arguments, action);
+  AddExplainCommand(app, arguments, action);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) {
--- a/libs/entry/src/outcome_log.cc
+++ b/libs/entry/src/outcome_log.cc
@@ -7,6 +7,7 @@
 
 #include "gooseberryrock/base/clock.h"
 #include "gooseberryrock/relay/request_state.h"
+#include "gooseberryrock/relay/service_pool.h"
 #include "gooseberryrock/telemetry/log_event.h"
 #include "gooseberryrock/telemetry/metrics.h"
 
@@ -44,6 +45,21 @@
   return "unknown";
 }
 
+// A line names no more shards than this.
+constexpr size_t kMaxNamedServices = 5;
+
+// The services of the parts without an answer, separated by commas.
+std::string MissingServices(const relay::RequestState& state) {
+  std::string names;
+  size_t n = 0;
+  for (const relay::RequestPart& part : state.parts) {
+    if (!part.answered && n++ < kMaxNamedServices) {
+      names += (names.empty() ? "" : ",") + part.pool->service.value;
+    }
+  }
+  return names;
+}
+
 // In the words of query::AnswerStatusName().
 const char* StatusName(const relay::RequestState& state,
                        const relay::Outcome& outcome) {
@@ -75,6 +91,7 @@
                         {{"request", request_id},
                          {"route", state.route->name},
                          {"reason", ReasonName(refused->reason)},
+                         {"missing_services", MissingServices(state)},
                          {"retry_after_ms", Milliseconds(refused->retry_after)},
                          {"elapsed_ms", elapsed}});
   } else if (const auto* failed = std::get_if<relay::FailedOutcome>(&outcome)) {
@@ -83,6 +100,7 @@
                          {"route", state.route->name},
                          {"reason", ReasonName(failed->reason)},
                          {"answered", std::to_string(state.parts_answered)},
+                         {"missing_services", MissingServices(state)},
                          {"elapsed_ms", elapsed}});
   } else if (const auto* gathered =
                  std::get_if<relay::GatheredOutcome>(&outcome)) {
@@ -92,6 +110,7 @@
           {{"request", request_id},
            {"route", state.route->name},
            {"missing", std::to_string(gathered->missing_shards)},
+           {"missing_services", MissingServices(state)},
            {"settled_early", gathered->settled_early ? "true" : "false"},
            {"elapsed_ms", elapsed}});
     }
--- a/tests/process/tier_cluster.cc
+++ b/tests/process/tier_cluster.cc
@@ -88,7 +88,7 @@
         std::vector<transport::IoThread*>{&io_},
         transport::Endpoint{"127.0.0.1", 0}, transport::WebLimits(),
         [this, i](size_t, const std::shared_ptr<transport::Exchange>& it) {
-          AnswerAsServer(i, *it);
+          AnswerAsServer(i, it);
         }));
   }
   controls_.resize(kControlVms);
@@ -158,17 +158,46 @@
   std::filesystem::remove_all(folder_ + "/control-" + std::to_string(i));
 }
 
-void TierCluster::AnswerAsServer(size_t server, transport::Exchange& exchange) {
-  const std::string id = exchange.request()["X-Request-Id"].to_string();
-  if (exchange.request().method() == http::verb::post) {
+void TierCluster::AnswerAsServer(
+    size_t server,
+    std::shared_ptr<transport::Exchange> exchange) {
+  const std::string id = exchange->request()["X-Request-Id"].to_string();
+  {
     std::lock_guard lock(mutex_);
-    ++executions_[id];
+    if (exchange->request().method() == http::verb::post) {
+      ++executions_[id];
+    }
+    const ServerFault fault = faults_[server / kServersPerService];
+    if (fault == ServerFault::kNoAnswer) {
+      unanswered_.push_back(std::move(exchange));
+    }
+    if (fault != ServerFault::kNone) {
+      // An exchange that is destroyed without a response closes its connection.
+      return;
+    }
   }
   transport::Response response(http::status::ok, 11);
   response.set("X-Request-Id", id);
   response.set("X-Server-Stamp", "stamp-" + std::to_string(server));
   response.body() = std::string(16, static_cast<char>('a' + server));
-  exchange.Respond(std::move(response));
+  exchange->Respond(std::move(response));
+}
+
+void TierCluster::SetFault(size_t service, ServerFault fault) {
+  std::lock_guard lock(mutex_);
+  faults_[service] = fault;
+}
+
+std::string TierCluster::ExplainLast() {
+  const std::string output = folder_ + "/explain.txt";
+  Process explain(
+      {GBRCTL_PATH, "explain", "r" + std::to_string(next_request_ - 1),
+       folder_ + "/entry-0.log", folder_ + "/entry-1.log",
+       folder_ + "/control-0.log"},
+      output);
+  explain.WaitForEnd(std::chrono::seconds(5));
+  std::ifstream in(output);
+  return {std::istreambuf_iterator<char>(in), {}};
 }
 
 void TierCluster::Announce() {
--- a/tests/process/tier_cluster.h
+++ b/tests/process/tier_cluster.h
@@ -65,6 +65,12 @@
   std::string ControlMetrics(size_t i);
   // The stand-in servers announce themselves unless this is set.
   void SetSilent(bool silent) { silent_ = silent; }
+  // How the stand-in servers of service `s<service>` treat requests from now
+  // on.
+  enum class ServerFault { kNone, kNoAnswer, kCloses };
+  void SetFault(size_t service, ServerFault fault);
+  // The output of `gbrctl explain` for the last request of Ask().
+  std::string ExplainLast();
   // How often the stand-in servers ran each request that must not run twice.
   std::map<std::string, int> Executions();
 
@@ -75,7 +81,8 @@
                      const std::string& data_folder,
                      bool first_start) const;
   std::string Metrics(const std::string& host);
-  void AnswerAsServer(size_t server, transport::Exchange& exchange);
+  void AnswerAsServer(size_t server,
+                      std::shared_ptr<transport::Exchange> exchange);
   void Announce();
 
   const std::string folder_;
@@ -83,6 +90,8 @@
   std::mutex mutex_;
   // Guarded by `mutex_`.
   std::map<std::string, int> executions_;
+  std::map<size_t, ServerFault> faults_;
+  std::vector<std::shared_ptr<transport::Exchange>> unanswered_;
   std::vector<std::unique_ptr<transport::WebServer>> servers_;
   std::vector<std::unique_ptr<Process>> controls_;
   std::vector<std::unique_ptr<Process>> entries_;
--- a/tests/process/tier_test.cc
+++ b/tests/process/tier_test.cc
@@ -1,5 +1,6 @@
 // Control VMs and entry nodes together, as processes.
 
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 #include <atomic>
@@ -16,6 +17,8 @@
 namespace http = boost::beast::http;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using testing::AllOf;
+using testing::HasSubstr;
 
 class TierTest : public testing::Test {
  protected:
@@ -111,6 +114,46 @@
   EXPECT_EQ(leaders, 1);
 }
 
+// Guards against a failed request whose cause the logs do not lead to: the
+// three walks of the operators' page, each with its fault.
+TEST_F(TierTest, LogsLeadFromARequestToItsCause) {
+  using Fault = TierCluster::ServerFault;
+  ASSERT_TRUE(cluster_.PutRoutes(5));
+  ASSERT_TRUE(cluster_.WaitForService(0, seconds(10)));
+  // One of three shards does not answer, and two are enough.
+  cluster_.SetFault(1, Fault::kNoAnswer);
+  const auto partial = cluster_.Ask(0, "GET", "/all/x");
+  ASSERT_TRUE(partial);
+  EXPECT_EQ((*partial)["X-Missing-Parts"], "1");
+  EXPECT_THAT(cluster_.ExplainLast(),
+              AllOf(HasSubstr("answered in part"), HasSubstr("cause=hedge"),
+                    HasSubstr("missing_services=s1")));
+  // The server closes the connection of a request that must not run twice.
+  cluster_.SetFault(3, Fault::kCloses);
+  const auto lost = cluster_.Ask(0, "POST", "/one/x");
+  ASSERT_TRUE(lost);
+  EXPECT_EQ(lost->result(), http::status::bad_gateway);
+  EXPECT_THAT(cluster_.ExplainLast(),
+              AllOf(HasSubstr("may have run: the connection to the server was"),
+                    HasSubstr("event=attempt_lost")));
+  // Two of three shards close all connections until they count as down.
+  cluster_.SetFault(0, Fault::kCloses);
+  cluster_.SetFault(1, Fault::kCloses);
+  std::optional<transport::Response> refused;
+  for (int n = 0; n < 20 && (!refused || refused->result() !=
+                                             http::status::service_unavailable);
+       ++n) {
+    refused = cluster_.Ask(0, "GET", "/all/x");
+  }
+  ASSERT_TRUE(refused);
+  EXPECT_EQ(refused->result(), http::status::service_unavailable);
+  EXPECT_NE((*refused)["Retry-After"], "");
+  EXPECT_THAT(cluster_.ExplainLast(),
+              AllOf(HasSubstr("too many shards had no server that responds"),
+                    HasSubstr("missing_services=s0,s1"),
+                    HasSubstr("event=attempt_lost")));
+}
+
 // Guards against acknowledged routes that are lost or shown in an older state
 // when all control VMs are killed at once.
 TEST_F(TierTest, KeepsRoutesWhenAllControlVmsAreKilled) {
