entry, peer: a node that has just started learns of servers with its routes

Ruled out: election, disks, connection limits. Change: all control VMs are asked at once, without their directories, while nothing is known; the one of the own domain again at once. Connections between nodes are given up after 150 ms instead of 300.

--- a/libs/entry/src/control_link.cc
+++ b/libs/entry/src/control_link.cc
@@ -114,9 +114,9 @@
                             {{"servers", std::to_string(forgotten.size())}});
         events.on_servers(forgotten);
       }
-      changed.wait_for(lock,
-                       routes_version == 0 ? kStartPollInterval : kPollInterval,
-                       [this] { return stopping; });
+      changed.wait_for(lock, has_directory ? kPollInterval : kStartPollInterval,
+                       [this] { return stopping || poll_at_once; });
+      poll_at_once = false;
     }
   }
 
@@ -148,7 +148,12 @@
         return;
       }
     }
-    if (!others.empty()) {
+    if (!has_directory) {
+      // Finds out at once which VMs are of the own failure domain.
+      for (const NodeId& node : others) {
+        Ask(node, vms[node], /*with_directory=*/false, now);
+      }
+    } else if (!others.empty()) {
       const NodeId& node = others[probes++ % others.size()];
       Ask(node, vms[node], /*with_directory=*/false, now);
     }
@@ -232,6 +237,10 @@
     {
       std::lock_guard lock(mutex);
       ControlVm& vm = vms[frame.sender];
+      if (vm.domain.empty() && !has_directory) {
+        poll_at_once = true;
+        changed.notify_all();
+      }
       vm.domain = {reply.failure_domain()};
       vm.answered_at = BootTime();
       vm.current = reply.current();
@@ -338,6 +347,7 @@
   uint64_t routes_version = 0;
   bool has_directory = false;
   bool stopping = false;
+  bool poll_at_once = false;
   ServerBook book;
   ConnectionPlan last_plan;
   // Of the list that `last_plan` was made from.
--- a/libs/peer/src/peer_socket.cc
+++ b/libs/peer/src/peer_socket.cc
@@ -29,9 +29,9 @@
 constexpr int kReconnectMs = 50;
 constexpr int kMaxReconnectMs = 100;
 // A VM that is down does not answer, and the kernel asks again only after a
-// second; a new attempt finds it sooner once it is back. Ten times the round
-// trip between today's failure domains, with room for other regions.
-constexpr int kConnectTimeoutMs = 300;
+// second; a new attempt finds it sooner once it is back. Six times the round
+// trip between today's regions.
+constexpr int kConnectTimeoutMs = 150;
 // Frames that ZeroMQ itself holds for each connection and direction.
 constexpr int kHighWaterMark = 256;
 // Frames received before the queues to the peers are served again.
