control, entry: directories are complete soon after a start

Ruled out: the log (a leader after 1.7 s), the remembered servers of the other VMs (54 each). Change: a control VM compares its directory with all others at each hello for 5 s after its start; a node that starts takes the directories of up to three control VMs. The single connection to each server that a node uses until it knows the others keeps the requests that waited from flooding the servers.

--- a/libs/control/src/control_node.cc
+++ b/libs/control/src/control_node.cc
@@ -124,6 +124,7 @@
         registry(
             settings.node,
             incarnation,
+            started_at,
             [this](const NodeId& to, peer::FrameKind kind, std::string body) {
               socket->Send(to, kind, std::move(body));
             }) {
--- a/libs/control/src/registry.cc
+++ b/libs/control/src/registry.cc
@@ -16,6 +16,11 @@
 
 namespace {
 
+// After its start a VM compares its directory with all others each time: it may
+// have missed what servers said for as long as it was down, and the entry nodes
+// of its failure domain rely on it. Four announcements of today's servers.
+constexpr Duration kCatchUpTime = std::chrono::seconds(5);
+
 // Stands for a server that withdraws before this VM has heard of it. The other
 // nodes may know it.
 directory::ServerRecord UnknownServer() {
@@ -30,9 +35,13 @@
 
 }  // namespace
 
-Registry::Registry(NodeId self, uint64_t incarnation, FrameSender send)
+Registry::Registry(NodeId self,
+                   uint64_t incarnation,
+                   SteadyTime started_at,
+                   FrameSender send)
     : self_(std::move(self)),
       incarnation_(incarnation),
+      started_at_(started_at),
       send_(std::move(send)) {}
 
 void Registry::Announce(const directory::ServerRecord& record,
@@ -113,13 +122,20 @@
   std::lock_guard lock(mutex_);
   directory::RemoveGone(directory_, now);
   SendDeltas(peers);
-  if (now < next_digest_) {
+  const bool catching_up = now - started_at_ < kCatchUpTime;
+  if (now < next_digest_ && !catching_up) {
     return;
   }
   next_digest_ = now + directory::kDigestInterval;
   const std::string body =
       proto::ToMessage(directory::MakeRootDigest(directory_))
           .SerializeAsString();
+  if (catching_up) {
+    for (const NodeId& it : peers) {
+      send_(it, peer::FrameKind::kDirectoryDigest, body);
+    }
+    return;
+  }
   for (size_t i : directory::TakeDigestPeers(exchange_, peers.size())) {
     send_(peers[i], peer::FrameKind::kDirectoryDigest, body);
   }
--- a/libs/control/src/registry.h
+++ b/libs/control/src/registry.h
@@ -37,7 +37,10 @@
 class Registry {
  public:
   // `incarnation` is that of this process; change counts begin anew with it.
-  Registry(NodeId self, uint64_t incarnation, FrameSender send);
+  Registry(NodeId self,
+           uint64_t incarnation,
+           SteadyTime started_at,
+           FrameSender send);
 
   // Take over what a server says, and tell `peers` at once when it is news.
   void Announce(const directory::ServerRecord& record,
@@ -76,6 +79,7 @@
 
   const NodeId self_;
   const uint64_t incarnation_;
+  const SteadyTime started_at_;
   const FrameSender send_;
 
   mutable std::mutex mutex_;
--- a/libs/entry/src/control_link.cc
+++ b/libs/entry/src/control_link.cc
@@ -49,6 +49,10 @@
 // VMs lost power is forgotten with them, so it must not be longer.
 constexpr Duration kRememberedTime = std::chrono::milliseconds(2500);
 
+// A node that starts takes the directories of this many control VMs: one that
+// has lost its disk or was cut off does not know all servers yet.
+constexpr size_t kFirstDirectories = 3;
+
 struct ControlVm {
   FailureDomain domain;
   std::optional<SteadyTime> answered_at;
@@ -56,6 +60,7 @@
   std::optional<SteadyTime> asked_at;
   // It heard from the leader of the replicated log lately.
   bool current = false;
+  // Of the process that gave its directory; 0 when none has.
   uint64_t incarnation = 0;
   uint64_t directory_count = 0;
 };
@@ -121,8 +126,8 @@
   }
 
   // Asks the control VMs of the own failure domain up to the first reliable
-  // one; failing that a reliable one elsewhere. While there is none, one of the
-  // others is asked at a time, without its directory: many nodes lose the same
+  // one; failing that a reliable one elsewhere. While there is none, the others
+  // are asked, mostly without their directories: many nodes lose the same
   // control VM at once, and a directory from each of the others would take more
   // than the links between failure domains should carry. `mutex` is held.
   void Poll() {
@@ -148,16 +153,26 @@
         return;
       }
     }
-    if (!has_directory) {
-      // Finds out at once which VMs are of the own failure domain.
-      for (const NodeId& node : others) {
-        Ask(node, vms[node], /*with_directory=*/false, now);
-      }
-    } else if (!others.empty()) {
+    AskUnreliable(others, now);
+    NoteSource({});
+  }
+
+  // While the node knows no servers all of `others` are asked, which shows at
+  // once which of them are of the own failure domain; later one at a time.
+  void AskUnreliable(const std::vector<NodeId>& others, SteadyTime now) {
+    auto known = static_cast<size_t>(std::count_if(
+        vms.begin(), vms.end(),
+        [](const auto& it) { return it.second.incarnation != 0; }));
+    const size_t n =
+        has_directory ? std::min<size_t>(1, others.size()) : others.size();
+    for (size_t i = 0; i < n; ++i) {
       const NodeId& node = others[probes++ % others.size()];
-      Ask(node, vms[node], /*with_directory=*/false, now);
+      ControlVm& vm = vms[node];
+      const bool with_directory =
+          vm.incarnation == 0 && known < kFirstDirectories;
+      known += with_directory ? 1 : 0;
+      Ask(node, vm, with_directory, now);
     }
-    NoteSource({});
   }
 
   void Ask(const NodeId& node,
