control: remembered servers are named for 1.2 s after a start

Cause: read as a newcomer: named for 2.5 s by control VMs and used for 2.5 s by entry nodes, a server could be used 5 s after a restart without having announced itself; the contact time of the deployments is 4 s. Change: control VMs name them for 1.2 s; the list on disk is kept for 2.5 s as before. Comments of the link's events follow the code.

--- a/libs/control/src/control_node.cc
+++ b/libs/control/src/control_node.cc
@@ -69,8 +69,12 @@
 constexpr size_t kMaxWaitingCalls = 64;
 constexpr size_t kMaxCallBytes = size_t{4} << 20U;
 // Servers that were known before this VM started are named to entry nodes for
-// this long: two announcements of today's servers, 1.2 s apart.
-constexpr Duration kRememberedTime = std::chrono::milliseconds(2500);
+// this long. With the 2.5 s for which these use them it stays below the 4 s of
+// contact after which the deployments rely on what is known.
+constexpr Duration kRememberedTime = std::chrono::milliseconds(1200);
+// The list of the last start stays on disk until servers have had the time for
+// two announcements, 1.2 s apart.
+constexpr Duration kKeepListTime = std::chrono::milliseconds(2500);
 // The list of servers is written to disk this often at most; it only has to be
 // about right after a restart.
 constexpr Duration kSaveServersInterval = std::chrono::seconds(1);
@@ -461,7 +465,7 @@
   void SaveServers(SteadyTime now) {
     const uint64_t count = registry.ChangeCount();
     if (saving_servers || count == saved_count || now < next_save ||
-        now < started_at + kRememberedTime) {
+        now < started_at + kKeepListTime) {
       return;
     }
     next_save = now + kSaveServersInterval;
--- a/libs/entry/src/control_link.cc
+++ b/libs/entry/src/control_link.cc
@@ -46,7 +46,7 @@
 
 // Remembered servers are used for this long: two announcements of today's
 // servers, each 1.2 s after the one before. What a server said just before all
-// VMs lost power is forgotten with them, so it must not be longer.
+// VMs lost power is forgotten with them, so it must not be much longer.
 constexpr Duration kRememberedTime = std::chrono::milliseconds(2500);
 
 // A node that starts takes the directories of this many control VMs: one that
@@ -362,6 +362,7 @@
   uint64_t routes_version = 0;
   bool has_directory = false;
   bool stopping = false;
+  // A control VM of the own failure domain was found while the node starts.
   bool poll_at_once = false;
   ServerBook book;
   ConnectionPlan last_plan;
--- a/libs/entry/src/control_link.h
+++ b/libs/entry/src/control_link.h
@@ -34,7 +34,7 @@
 
 class ControlLink {
  public:
-  // Events are called on a thread of the link, one at a time. Throws
+  // Events are called on threads of the link. Throws
   // PeerSocketError when the peer port cannot be used.
   ControlLink(const EntrySettings& settings,
               const Dialect& dialect,
