--- a/tests/process/tier_cluster.cc
+++ b/tests/process/tier_cluster.cc
@@ -160,7 +160,7 @@
 
 void TierCluster::AnswerAsServer(
     size_t server,
-    std::shared_ptr<transport::Exchange> exchange) {
+    const std::shared_ptr<transport::Exchange>& exchange) {
   const std::string id = exchange->request()["X-Request-Id"].to_string();
   {
     std::lock_guard lock(mutex_);
@@ -169,7 +169,7 @@
     }
     const ServerFault fault = faults_[server / kServersPerService];
     if (fault == ServerFault::kNoAnswer) {
-      unanswered_.push_back(std::move(exchange));
+      unanswered_.push_back(exchange);
     }
     if (fault != ServerFault::kNone) {
       // An exchange that is destroyed without a response closes its connection.
--- a/tests/process/tier_cluster.h
+++ b/tests/process/tier_cluster.h
@@ -82,7 +82,7 @@
                      bool first_start) const;
   std::string Metrics(const std::string& host);
   void AnswerAsServer(size_t server,
-                      std::shared_ptr<transport::Exchange> exchange);
+                      const std::shared_ptr<transport::Exchange>& exchange);
   void Announce();
 
   const std::string folder_;
