control: log and measure the voters that are missing

Callers saw nothing until their entry nodes restarted, and operators neither: the log of an outage could not tell whether voters were missing, had other disks or refused to elect a leader, and a log that tolerates no further loss looked the same as a healthy one.

Change: each control VM logs voters_changed with the missing voters, the reason and the number of losses that are still tolerated, when one of them changes, and exposes gbr_log_voters, gbr_log_voters_present and gbr_log_tolerated_losses. The view of the membership that the repair uses is shared with it.

--- a/libs/control/src/control_node.cc
+++ b/libs/control/src/control_node.cc
@@ -23,6 +23,7 @@
 #include "gooseberryrock/control/log_gauges.h"
 #include "gooseberryrock/control/log_status.h"
 #include "gooseberryrock/control/replicated_log.h"
+#include "gooseberryrock/control/voter_health.h"
 #include "gooseberryrock/monitoring/metrics_server.h"
 #include "gooseberryrock/monitoring/peer_counters.h"
 #include "gooseberryrock/peer/frame.h"
@@ -263,7 +264,9 @@
   // On the I/O thread.
   void UpdateMetrics() {
     const SteadyTime now = BootTime();
-    SetLogGauges(metrics, log->Status(), settings.node);
+    const LogStatus status = log->Status();
+    SetLogGauges(metrics, status, settings.node);
+    SetVoterGauges(metrics, Voters(status, now));
     const ServerCounts servers = registry.CountServers();
     SetGauge(metrics, Gauge::kServersReady, static_cast<double>(servers.ready));
     SetGauge(metrics, Gauge::kServersDraining,
@@ -415,7 +418,9 @@
         next_hello = now + kHelloInterval;
         SendHellos(now);
       }
-      RepairMembership(now);
+      const LogStatus status = log->Status();
+      LogVoterChanges(status, now);
+      RepairMembership(status, now);
       SaveServers(now);
       lock.lock();
       changed.wait_for(lock, kRepairInterval, [this] { return stopping; });
@@ -490,8 +495,39 @@
     }
   }
 
-  void RepairMembership(SteadyTime now) {
-    const LogStatus status = log->Status();
+  VoterHealth Voters(const LogStatus& status, SteadyTime now) const {
+    return AssessVoters(settings.node, status.membership, peers.Contacts(),
+                        RepairPolicyOf(settings), now);
+  }
+
+  // Without these lines a log that has lost a voter looks the same as a healthy
+  // one until the next loss stops it.
+  void LogVoterChanges(const LogStatus& status, SteadyTime now) {
+    // Right after a start the others have had no time for a hello.
+    if (now - started_at < RepairPolicyOf(settings).presence_timeout) {
+      return;
+    }
+    VoterHealth health = Voters(status, now);
+    if (health == logged_voters) {
+      return;
+    }
+    const int losses = ToleratedLosses(health);
+    const LogLevel level =
+        losses < 0 ? LogLevel::kError
+        : losses < static_cast<int>(settings.tolerated_losses)
+            ? LogLevel::kWarning
+            : LogLevel::kInfo;
+    telemetry::LogEvent(level, "voters_changed",
+                        {{"voters", std::to_string(health.voters.size())},
+                         {"present", std::to_string(CountPresent(health))},
+                         {"missing", MissingVoters(health)},
+                         {"learners", std::to_string(health.present_learners)},
+                         {"tolerated_losses", std::to_string(losses)},
+                         {"leader", status.leader.value}});
+    logged_voters = std::move(health);
+  }
+
+  void RepairMembership(const LogStatus& status, SteadyTime now) {
     if (status.leader != settings.node || repair_pending) {
       return;
     }
@@ -539,6 +575,7 @@
   std::atomic<uint64_t> saved_count = 0;
   // Used by the maintenance thread only.
   SteadyTime next_save;
+  VoterHealth logged_voters;
 
   telemetry::Metrics metrics;
   // Used on the I/O thread only.
--- a/libs/control/src/log_gauges.cc
+++ b/libs/control/src/log_gauges.cc
@@ -3,6 +3,7 @@
 #include "gooseberryrock/control/log_gauges.h"
 
 #include "gooseberryrock/control/log_status.h"
+#include "gooseberryrock/control/voter_health.h"
 #include "gooseberryrock/telemetry/metrics.h"
 
 namespace gooseberryrock::control {
@@ -20,4 +21,12 @@
   SetGauge(metrics, Gauge::kStorageRefused, refused ? 1 : 0);
 }
 
+void SetVoterGauges(telemetry::Metrics& metrics, const VoterHealth& health) {
+  using telemetry::Gauge;
+  SetGauge(metrics, Gauge::kVoters, static_cast<double>(health.voters.size()));
+  SetGauge(metrics, Gauge::kVotersPresent,
+           static_cast<double>(CountPresent(health)));
+  SetGauge(metrics, Gauge::kToleratedLosses, ToleratedLosses(health));
+}
+
 }  // namespace gooseberryrock::control
--- a/libs/control/src/member_repair.cc
+++ b/libs/control/src/member_repair.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "membership_view.h"
+
 namespace gooseberryrock::control {
 
 namespace {
@@ -13,67 +15,25 @@
 using consensus::MembershipAction;
 using consensus::MembershipChange;
 
-struct RepairInput {
-  const NodeId& self;
-  const Membership& membership;
-  const std::map<NodeId, VmContact>& contacts;
-  const RepairPolicy& policy;
-  SteadyTime now;
-
-  bool ContactedWithin(const NodeId& node, Duration time) const {
-    if (node == self) {
-      return true;
-    }
-    auto it = contacts.find(node);
-    return it != contacts.end() && now - it->second.last_contact < time;
-  }
-
-  bool HasDifferentStorage(const NodeId& node, const Member& member) const {
-    auto it = contacts.find(node);
-    return node != self && it != contacts.end() && !member.storage_id.empty() &&
-           it->second.storage_id != member.storage_id &&
-           ContactedWithin(node, policy.presence_timeout);
-  }
-
-  bool IsPresentVoter(const NodeId& node, const Member& member) const {
-    return member.voter && ContactedWithin(node, policy.presence_timeout) &&
-           !HasDifferentStorage(node, member);
-  }
-
-  size_t CountVoters() const {
-    return static_cast<size_t>(
-        std::count_if(membership.members.begin(), membership.members.end(),
-                      [](const auto& it) { return it.second.voter; }));
-  }
-
-  size_t CountPresentVoters() const {
-    return static_cast<size_t>(
-        std::count_if(membership.members.begin(), membership.members.end(),
-                      [this](const auto& it) {
-                        return IsPresentVoter(it.first, it.second);
-                      }));
-  }
-
-  bool HasPresentLearner() const {
-    return std::any_of(membership.members.begin(), membership.members.end(),
-                       [this](const auto& it) {
-                         return !it.second.voter &&
-                                ContactedWithin(it.first,
-                                                policy.presence_timeout);
-                       });
-  }
+bool HasPresentLearner(const MembershipView& view) {
+  return std::any_of(view.membership.members.begin(),
+                     view.membership.members.end(), [&view](const auto& it) {
+                       return !it.second.voter && IsPresent(view, it.first);
+                     });
+}
 
-  // Returns whether the log can commit entries without `node`.
-  bool MayRemove(const NodeId& node, const Member& member) const {
-    if (!member.voter) {
-      return true;
-    }
-    const size_t rest = CountVoters() - 1;
-    const size_t present =
-        CountPresentVoters() - (IsPresentVoter(node, member) ? 1 : 0);
-    return rest > 0 && present > rest / 2;
+// Returns whether the log can commit entries without `node`.
+bool MayRemove(const MembershipView& view,
+               const NodeId& node,
+               const Member& member) {
+  if (!member.voter) {
+    return true;
   }
-};
+  const size_t rest = CountVoters(view) - 1;
+  const size_t present =
+      CountPresentVoters(view) - (IsPresentVoter(view, node, member) ? 1 : 0);
+  return rest > 0 && present > rest / 2;
+}
 
 MembershipChange Change(MembershipAction action, const NodeId& node) {
   MembershipChange change;
@@ -82,39 +42,38 @@
   return change;
 }
 
-std::optional<MembershipChange> NextRemoval(const RepairInput& view) {
+std::optional<MembershipChange> NextRemoval(const MembershipView& view) {
   for (const auto& [node, member] : view.membership.members) {
-    if (view.HasDifferentStorage(node, member) &&
-        view.MayRemove(node, member)) {
+    if (HasDifferentStorage(view, node, member) &&
+        MayRemove(view, node, member)) {
       return Change(MembershipAction::kRemove, node);
     }
   }
   for (const auto& [node, member] : view.membership.members) {
     const bool lost =
         member.voter
-            ? view.HasPresentLearner() &&
-                  view.CountVoters() >= view.policy.voters &&
-                  !view.ContactedWithin(node, view.policy.voter_timeout)
-            : !view.ContactedWithin(node, view.policy.learner_timeout);
-    if (lost && view.contacts.contains(node) && view.MayRemove(node, member)) {
+            ? HasPresentLearner(view) &&
+                  CountVoters(view) >= view.policy.voters &&
+                  !IsContactedWithin(view, node, view.policy.voter_timeout)
+            : !IsContactedWithin(view, node, view.policy.learner_timeout);
+    if (lost && view.contacts.contains(node) && MayRemove(view, node, member)) {
       return Change(MembershipAction::kRemove, node);
     }
   }
   return std::nullopt;
 }
 
-std::optional<MembershipChange> NextAddition(const RepairInput& view) {
-  if (view.CountVoters() < view.policy.voters) {
+std::optional<MembershipChange> NextAddition(const MembershipView& view) {
+  if (CountVoters(view) < view.policy.voters) {
     for (const auto& [node, member] : view.membership.members) {
-      if (!member.voter &&
-          view.ContactedWithin(node, view.policy.presence_timeout)) {
+      if (!member.voter && IsPresent(view, node)) {
         return Change(MembershipAction::kPromote, node);
       }
     }
   }
   for (const auto& [node, vm] : view.contacts) {
     if (!view.membership.members.contains(node) && !vm.storage_id.empty() &&
-        view.ContactedWithin(node, view.policy.presence_timeout)) {
+        IsPresent(view, node)) {
       MembershipChange change = Change(MembershipAction::kAddLearner, node);
       change.storage_id = vm.storage_id;
       change.peer_address = node.value;
@@ -132,7 +91,7 @@
     const std::map<NodeId, VmContact>& contacts,
     const RepairPolicy& policy,
     SteadyTime now) {
-  const RepairInput view{self, membership, contacts, policy, now};
+  const MembershipView view{self, membership, contacts, policy, now};
   if (auto removal = NextRemoval(view)) {
     return removal;
   }
--- a/libs/telemetry/include/gooseberryrock/telemetry/metric_names.h
+++ b/libs/telemetry/include/gooseberryrock/telemetry/metric_names.h
@@ -59,6 +59,9 @@
   kRoutesVersion,
   kControlAnswerAgeSeconds,
   kEntryNodes,
+  kVoters,
+  kVotersPresent,
+  kToleratedLosses,
   kCount,
 };
 
--- a/libs/telemetry/src/metric_names.cc
+++ b/libs/telemetry/src/metric_names.cc
@@ -77,6 +77,11 @@
     {"gbr_control_answer_age_seconds",
      "Time since a control VM answered this entry node."},
     {"gbr_entry_nodes", "Entry nodes that share the servers' limits."},
+    {"gbr_log_voters", "Voters of the replicated log."},
+    {"gbr_log_voters_present",
+     "Voters that this control VM hears of and that have their disks."},
+    {"gbr_log_tolerated_losses",
+     "Voters that may still be lost; negative when there is no majority."},
 }};
 
 // A missing name leaves an empty element at the end.
--- a/tests/process/tier_test.cc
+++ b/tests/process/tier_test.cc
@@ -110,6 +110,9 @@
              std::chrono::steady_clock::now() < end);
     EXPECT_EQ(MetricValue(control, "gbr_routes_version"), 5);
     EXPECT_EQ(MetricValue(control, "gbr_servers_ready"), 8);
+    EXPECT_EQ(MetricValue(control, "gbr_log_voters"), 3);
+    EXPECT_EQ(MetricValue(control, "gbr_log_voters_present"), 3);
+    EXPECT_EQ(MetricValue(control, "gbr_log_tolerated_losses"), 1);
     leaders += MetricValue(control, "gbr_is_leader") == 1 ? 1 : 0;
   }
   EXPECT_EQ(leaders, 1);
