control: hand over the vote of a lost VM within the time the deployment allows

Callers saw: a configuration that was acknowledged could not be read back, and after a restart of the entry nodes every request was refused.

Cause: a lost control VM kept its vote for 12 s, a constant, although the deployment has a loss replaced catch_up_s (4 s) after its successor has started. A second loss in between left one vote of three with its disk, and the log stopped for good, while a learner with all entries stood by. Class of fault: an interval of ours that has to meet a bound which the deployment names, but does not follow from it.

Ruled out: an acknowledgement before a majority had synced (no entry is missing on the VMs that are left), refused votes (no storage_refused before the second loss).

Change: replacement_time_s in the settings (catch_up_s of the platform) gives the intervals of hellos, checks and silence. A silent voter hands its vote to a learner that has the entries after half of that time. The learner is promoted before the voter is removed, because a voter that is only paused still counts if a disk is lost in between; the test that expected the other order now expects this one and, in addition, nothing to do afterwards. A VM that shuts down announces it and keeps running until its vote is handed over, if a learner is there. A VM that was suspended, or has just started, does not take others for lost because of hellos that it could not hear.

--- a/apps/node/tier_commands.cc
+++ b/apps/node/tier_commands.cc
@@ -180,6 +180,7 @@
   control.endpoint = ToEndpoint(settings.control_address);
   control.metrics_endpoint = ToEndpoint(settings.metrics_address);
   control.tolerated_losses = settings.tolerated_losses;
+  control.replacement_time = settings.replacement_time;
   const sigset_t signals = BlockSignals();
   control::ControlNode node(control, platform::GetControlCodec());
   ServeUntilStopped(node, signals, settings, settings_path, TierRole::kControl);
--- a/libs/consensus/include/gooseberryrock/consensus/consensus.h
+++ b/libs/consensus/include/gooseberryrock/consensus/consensus.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -89,6 +90,10 @@
                          const MembershipChange& change,
                          SteadyTime now);
 
+// Leaders: returns the members that lack few entries, if any. Only these may be
+// promoted. Empty on other VMs.
+std::set<NodeId> CaughtUpMembers(const ConsensusState& state);
+
 // Transfers leadership to an up-to-date voter before a graceful shutdown.
 // Complete when Effects::leadership reports another role, at the latest after
 // election_timeout_min. Has no effect on a VM that is not the leader.
--- a/libs/consensus/src/membership_change.cc
+++ b/libs/consensus/src/membership_change.cc
@@ -1,6 +1,7 @@
 // Membership changes, one VM at a time.
 
 #include <optional>
+#include <set>
 #include <utility>
 
 #include "gooseberryrock/consensus/consensus.h"
@@ -76,6 +77,16 @@
 
 }  // namespace
 
+std::set<NodeId> CaughtUpMembers(const ConsensusState& state) {
+  std::set<NodeId> nodes;
+  for (const auto& [node, progress] : state.progress) {
+    if (IsCaughtUp(state, node)) {
+      nodes.insert(node);
+    }
+  }
+  return nodes;
+}
+
 Effects ChangeMembership(ConsensusState& state,
                          const MembershipChange& change,
                          SteadyTime now) {
--- a/libs/control/include/gooseberryrock/control/control_settings.h
+++ b/libs/control/include/gooseberryrock/control/control_settings.h
@@ -34,6 +34,9 @@
   transport::Endpoint metrics_endpoint;
   // Number of simultaneous VM failures that the replicated log must tolerate.
   uint32_t tolerated_losses = 1;
+  // Time after the start of a lost VM's successor, or after the return of a VM,
+  // from which on the next loss must be tolerated.
+  Duration replacement_time = std::chrono::seconds(4);
 };
 
 }  // namespace gooseberryrock::control
--- a/libs/control/include/gooseberryrock/control/log_status.h
+++ b/libs/control/include/gooseberryrock/control/log_status.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "gooseberryrock/base/ids.h"
@@ -22,6 +23,8 @@
   std::optional<SteadyTime> contact_at;
   uint64_t commit_index = 0;
   consensus::Membership membership;
+  // The members that lack few entries; empty unless this VM is the leader.
+  std::set<NodeId> caught_up;
   // The data folder is unusable; the VM does not participate in the log.
   bool storage_failed = false;
   // The VM has detected that its disk was lost or rolled back.
--- a/libs/control/include/gooseberryrock/control/voter_health.h
+++ b/libs/control/include/gooseberryrock/control/voter_health.h
@@ -9,16 +9,11 @@
 #include <string>
 
 #include "gooseberryrock/base/ids.h"
-#include "gooseberryrock/base/time.h"
-
-namespace gooseberryrock::consensus {
-struct Membership;
-}  // namespace gooseberryrock::consensus
 
 namespace gooseberryrock::control {
 
+struct MembershipView;
 struct RepairPolicy;
-struct VmContact;
 
 enum class VoterState {
   kPresent,
@@ -36,11 +31,8 @@
   bool operator==(const VoterHealth&) const = default;
 };
 
-VoterHealth AssessVoters(const NodeId& self,
-                         const consensus::Membership& membership,
-                         const std::map<NodeId, VmContact>& contacts,
-                         const RepairPolicy& policy,
-                         SteadyTime now);
+VoterHealth AssessVoters(const MembershipView& view,
+                         const RepairPolicy& policy);
 
 size_t CountPresent(const VoterHealth& health);
 
--- a/libs/control/src/control_node.cc
+++ b/libs/control/src/control_node.cc
@@ -22,6 +22,8 @@
 #include "gooseberryrock/control/control_settings.h"
 #include "gooseberryrock/control/log_gauges.h"
 #include "gooseberryrock/control/log_status.h"
+#include "gooseberryrock/control/member_repair.h"
+#include "gooseberryrock/control/membership_view.h"
 #include "gooseberryrock/control/replicated_log.h"
 #include "gooseberryrock/control/voter_health.h"
 #include "gooseberryrock/monitoring/metrics_server.h"
@@ -51,12 +53,6 @@
 using telemetry::Gauge;
 using telemetry::LogLevel;
 
-// Interval of hellos between control VMs. A VM still counts as present after
-// two lost hellos.
-constexpr Duration kHelloInterval = std::chrono::milliseconds(500);
-// Interval of membership checks. A VM with a new disk becomes a voter again
-// well within the required 4 s.
-constexpr Duration kRepairInterval = std::chrono::milliseconds(250);
 // Time after a start during which the list of entry nodes may be incomplete and
 // is not sent: with an incomplete list, each entry node would take too large a
 // share of the servers' connections. The list is complete after three hellos.
@@ -106,12 +102,6 @@
   return options;
 }
 
-RepairPolicy RepairPolicyOf(const ControlSettings& settings) {
-  RepairPolicy policy;
-  policy.voters = 2 * settings.tolerated_losses + 1;
-  return policy;
-}
-
 transport::WebLimits CallLimits() {
   transport::WebLimits limits;
   limits.body_bytes = kMaxCallBytes;
@@ -124,6 +114,8 @@
   Impl(const ControlSettings& node_settings, const ControlCodec& node_codec)
       : settings(node_settings),
         codec(node_codec),
+        policy(MakeRepairPolicy(node_settings.tolerated_losses,
+                                node_settings.replacement_time)),
         incarnation(peer::MakeIncarnation()),
         peers(settings.node, settings.failure_domain),
         registry(
@@ -266,7 +258,7 @@
     const SteadyTime now = BootTime();
     const LogStatus status = log->Status();
     SetLogGauges(metrics, status, settings.node);
-    SetVoterGauges(metrics, Voters(status, now));
+    SetVoterGauges(metrics, AssessVoters(ViewOf(status, now), policy));
     const ServerCounts servers = registry.CountServers();
     SetGauge(metrics, Gauge::kServersReady, static_cast<double>(servers.ready));
     SetGauge(metrics, Gauge::kServersDraining,
@@ -344,7 +336,7 @@
     const auto hello = proto::Parse<proto::ControlHello>(frame.body);
     ControlPeer peer;
     peer.domain = {hello.failure_domain()};
-    peer.contact = {hello.storage_id(), now};
+    peer.contact = {hello.storage_id(), now, hello.leaving()};
     for (const proto::EntryNodes& it : hello.entry_nodes()) {
       for (const std::string& node : it.nodes()) {
         peer.entry_nodes[{node}] = {it.failure_domain()};
@@ -410,24 +402,34 @@
 
   void RunMaintenance() {
     SteadyTime next_hello;
+    SteadyTime last_check = started_at;
     std::unique_lock lock(mutex);
     while (!stopping) {
-      lock.unlock();
       const SteadyTime now = BootTime();
-      if (now >= next_hello) {
-        next_hello = now + kHelloInterval;
-        SendHellos(now);
+      // While this VM was suspended it received no hellos.
+      if (now - last_check >= policy.presence_timeout) {
+        listening_since = now;
+      }
+      last_check = now;
+      const bool hello_due = now >= next_hello || hello_now;
+      hello_now = false;
+      const bool is_leaving = leaving;
+      lock.unlock();
+      if (hello_due) {
+        next_hello = now + policy.hello_interval;
+        SendHellos(is_leaving, now);
       }
       const LogStatus status = log->Status();
       LogVoterChanges(status, now);
       RepairMembership(status, now);
       SaveServers(now);
       lock.lock();
-      changed.wait_for(lock, kRepairInterval, [this] { return stopping; });
+      changed.wait_for(lock, policy.check_interval,
+                       [this] { return stopping || hello_now; });
     }
   }
 
-  void SendHellos(SteadyTime now) {
+  void SendHellos(bool is_leaving, SteadyTime now) {
     for (const NodeId& it : peers.RemoveLostEntryNodes(now)) {
       socket->RemovePeer(it);
     }
@@ -436,6 +438,7 @@
     proto::ControlHello hello;
     hello.set_failure_domain(settings.failure_domain.value);
     hello.set_storage_id(log->storage_id());
+    hello.set_leaving(is_leaving);
     std::map<FailureDomain, proto::EntryNodes*> by_domain;
     for (const auto& [node, domain] : peers.PollingEntryNodes()) {
       proto::EntryNodes*& nodes = by_domain[domain];
@@ -495,19 +498,20 @@
     }
   }
 
-  VoterHealth Voters(const LogStatus& status, SteadyTime now) const {
-    return AssessVoters(settings.node, status.membership, peers.Contacts(),
-                        RepairPolicyOf(settings), now);
+  MembershipView ViewOf(const LogStatus& status, SteadyTime now) {
+    std::lock_guard lock(mutex);
+    return {settings.node,    status.membership, status.caught_up,
+            peers.Contacts(), listening_since,   now};
   }
 
   // Without these lines a log that has lost a voter looks the same as a healthy
   // one until the next loss stops it.
   void LogVoterChanges(const LogStatus& status, SteadyTime now) {
     // Right after a start the others have had no time for a hello.
-    if (now - started_at < RepairPolicyOf(settings).presence_timeout) {
+    if (now - started_at < policy.presence_timeout) {
       return;
     }
-    VoterHealth health = Voters(status, now);
+    VoterHealth health = AssessVoters(ViewOf(status, now), policy);
     if (health == logged_voters) {
       return;
     }
@@ -531,9 +535,7 @@
     if (status.leader != settings.node || repair_pending) {
       return;
     }
-    const auto change =
-        NextRepair(settings.node, status.membership, peers.Contacts(),
-                   RepairPolicyOf(settings), now);
+    const auto change = NextRepair(ViewOf(status, now), policy);
     if (!change) {
       return;
     }
@@ -551,8 +553,19 @@
     });
   }
 
+  // Handing over the vote before a shutdown.
+
+  void AnnounceLeaving() {
+    {
+      std::lock_guard lock(mutex);
+      leaving = hello_now = true;
+    }
+    changed.notify_all();
+  }
+
   const ControlSettings settings;
   const ControlCodec& codec;
+  const RepairPolicy policy;
   const uint64_t incarnation;
   const SteadyTime started_at = BootTime();
 
@@ -560,6 +573,9 @@
   // Guarded by `mutex`.
   StoredRoutes routes;
   bool stopping = false;
+  bool leaving = false;
+  bool hello_now = false;
+  SteadyTime listening_since = started_at;
   std::condition_variable changed;
 
   // Used on the log's thread only.
@@ -603,6 +619,7 @@
 }
 
 void ControlNode::Drain() {
+  impl_->AnnounceLeaving();
   impl_->log->TransferLeadership();
   impl_->server->StartDraining();
   impl_->server->StopAccepting();
@@ -610,7 +627,11 @@
   std::mutex wait_mutex;
   std::condition_variable wait;
   std::unique_lock lock(wait_mutex);
-  while (impl_->server->OpenConnections() > 0 && BootTime() < end) {
+  std::optional<SteadyTime> promoted_at;
+  while ((impl_->server->OpenConnections() > 0 ||
+          AwaitsSuccessor(impl_->ViewOf(impl_->log->Status(), BootTime()),
+                          impl_->policy, promoted_at)) &&
+         BootTime() < end) {
     wait.wait_for(lock, kStopCheck, [] { return false; });
   }
 }
--- a/libs/control/src/control_peers.h
+++ b/libs/control/src/control_peers.h
@@ -11,7 +11,7 @@
 
 #include "gooseberryrock/base/ids.h"
 #include "gooseberryrock/base/time.h"
-#include "gooseberryrock/control/member_repair.h"
+#include "gooseberryrock/control/vm_contact.h"
 
 namespace gooseberryrock::control {
 
--- a/libs/control/src/replicated_log.cc
+++ b/libs/control/src/replicated_log.cc
@@ -392,6 +392,7 @@
     now.term = state.hard_state.term;
     now.commit_index = state.commit_index;
     now.membership = state.membership;
+    now.caught_up = consensus::CaughtUpMembers(state);
     now.storage_failed = storage_failed;
     now.suspended = state.hard_state.suspended;
     {
--- a/libs/control/src/voter_health.cc
+++ b/libs/control/src/voter_health.cc
@@ -4,27 +4,21 @@
 
 #include <algorithm>
 
-#include "gooseberryrock/consensus/membership.h"
-#include "gooseberryrock/control/member_repair.h"
-#include "membership_view.h"
+#include "gooseberryrock/control/membership_view.h"
 
 namespace gooseberryrock::control {
 
-VoterHealth AssessVoters(const NodeId& self,
-                         const consensus::Membership& membership,
-                         const std::map<NodeId, VmContact>& contacts,
-                         const RepairPolicy& policy,
-                         SteadyTime now) {
-  const MembershipView view{self, membership, contacts, policy, now};
+VoterHealth AssessVoters(const MembershipView& view,
+                         const RepairPolicy& policy) {
   VoterHealth health;
-  for (const auto& [node, member] : membership.members) {
+  for (const auto& [node, member] : view.membership.members) {
     if (!member.voter) {
-      health.present_learners += IsPresent(view, node) ? 1 : 0;
-    } else if (HasDifferentStorage(view, node, member)) {
+      health.present_learners += IsPresent(view, policy, node) ? 1 : 0;
+    } else if (HasDifferentStorage(view, policy, node)) {
       health.voters[node] = VoterState::kOtherDisk;
     } else {
-      health.voters[node] =
-          IsPresent(view, node) ? VoterState::kPresent : VoterState::kSilent;
+      health.voters[node] = IsPresent(view, policy, node) ? VoterState::kPresent
+                                                          : VoterState::kSilent;
     }
   }
   return health;
--- a/libs/settings/include/gooseberryrock/settings/tier_settings.h
+++ b/libs/settings/include/gooseberryrock/settings/tier_settings.h
@@ -47,6 +47,9 @@
   Duration extra_attempt_window = std::chrono::seconds(10);
   // Number of simultaneous VM losses that the replicated log must survive.
   uint32_t tolerated_losses = 1;
+  // Time after the start of a lost VM's successor, or after the return of a VM,
+  // from which on the next loss must be survived.
+  Duration replacement_time = std::chrono::seconds(4);
   // Time limit from the stop signal to the exit of the process.
   Duration stop_time = std::chrono::seconds(6);
 };
--- a/libs/settings/src/tier_settings.cc
+++ b/libs/settings/src/tier_settings.cc
@@ -24,6 +24,8 @@
 constexpr Range kToleratedLosses = {0, 5};
 constexpr double kMinSeconds = 1;
 constexpr double kMaxSeconds = 600;
+// An election after the loss of the leader takes up to 2.4 s.
+constexpr double kMinReplacementSeconds = 3;
 constexpr double kMaxExtraAttemptShare = 1;
 constexpr double kMaxExtraAttempts = 1e6;
 constexpr size_t kMaxControlVms = 64;
@@ -77,10 +79,11 @@
 
 Duration ReadSeconds(const JsonObject& root,
                      std::string_view key,
-                     Duration default_value) {
+                     Duration default_value,
+                     double min_seconds = kMinSeconds) {
   using Seconds = std::chrono::duration<double>;
   return std::chrono::duration_cast<Duration>(Seconds(ReadNumber(
-      root, key, kMinSeconds, kMaxSeconds, Seconds(default_value).count())));
+      root, key, min_seconds, kMaxSeconds, Seconds(default_value).count())));
 }
 
 std::vector<Address> ReadControlVms(const JsonObject& root) {
@@ -143,6 +146,9 @@
   settings.tolerated_losses = static_cast<uint32_t>(
       ReadInteger(root, "tolerated_losses", Presence::kOptional,
                   kToleratedLosses, settings.tolerated_losses));
+  settings.replacement_time =
+      ReadSeconds(root, "replacement_time_s", settings.replacement_time,
+                  kMinReplacementSeconds);
   settings.extra_attempt_share =
       ReadNumber(root, "extra_attempt_share", 0, kMaxExtraAttemptShare,
                  settings.extra_attempt_share);
--- a/tests/consensus/simulated_cluster.cc
+++ b/tests/consensus/simulated_cluster.cc
@@ -14,12 +14,6 @@
 
 using std::chrono::milliseconds;
 
-SteadyTime LocalTime(const SimulatedCluster& cluster, const SimulatedVm& vm) {
-  const std::chrono::duration<double, std::nano> passed =
-      (cluster.now - vm.real_base) * vm.clock_rate;
-  return vm.local_base + std::chrono::duration_cast<Duration>(passed);
-}
-
 void ReportViolation(SimulatedCluster& cluster, std::string text) {
   cluster.violations.push_back(std::move(text));
 }
@@ -288,24 +282,6 @@
   }
 }
 
-void PauseVm(SimulatedCluster& cluster, const NodeId& id, Duration length) {
-  SimulatedVm& vm = cluster.vms.at(id);
-  if (cluster.defect == RuntimeDefect::kLeaseCheckedBeforePause) {
-    ReadWithoutSecondCheck(cluster, id);
-  }
-  vm.paused_until = cluster.now + length;
-  // After the pause, a read is answered first, then messages and timers are
-  // handled.
-  RunAfter(cluster, length, [&cluster, id] {
-    ReadAt(cluster, id);
-    auto waiting = std::move(cluster.vms.at(id).deferred_while_paused);
-    cluster.vms.at(id).deferred_while_paused.clear();
-    for (const auto& f : waiting) {
-      f();
-    }
-  });
-}
-
 void SetClockRate(SimulatedCluster& cluster, SimulatedVm& vm, double rate) {
   vm.local_base = LocalTime(cluster, vm);
   vm.real_base = cluster.now;
@@ -479,6 +455,12 @@
   RunOperator(*this);
 }
 
+SteadyTime LocalTime(const SimulatedCluster& cluster, const SimulatedVm& vm) {
+  const std::chrono::duration<double, std::nano> passed =
+      (cluster.now - vm.real_base) * vm.clock_rate;
+  return vm.local_base + std::chrono::duration_cast<Duration>(passed);
+}
+
 void Start(SimulatedCluster& cluster, const NodeId& id) {
   SimulatedVm& vm = cluster.vms.at(id);
   if (vm.alive) {
@@ -521,6 +503,24 @@
   vm.history.clear();
 }
 
+void PauseVm(SimulatedCluster& cluster, const NodeId& id, Duration length) {
+  SimulatedVm& vm = cluster.vms.at(id);
+  if (cluster.defect == RuntimeDefect::kLeaseCheckedBeforePause) {
+    ReadWithoutSecondCheck(cluster, id);
+  }
+  vm.paused_until = cluster.now + length;
+  // After the pause, a read is answered first, then messages and timers are
+  // handled.
+  RunAfter(cluster, length, [&cluster, id] {
+    ReadAt(cluster, id);
+    auto waiting = std::move(cluster.vms.at(id).deferred_while_paused);
+    cluster.vms.at(id).deferred_while_paused.clear();
+    for (const auto& f : waiting) {
+      f();
+    }
+  });
+}
+
 void Schedule(SimulatedCluster& cluster, const Fault& fault) {
   RunAfter(cluster, fault.begin,
            [&cluster, fault] { InjectFault(cluster, fault); });
--- a/tests/consensus/simulated_cluster.h
+++ b/tests/consensus/simulated_cluster.h
@@ -136,6 +136,10 @@
              std::optional<Duration> restart_after);
 // Replaces the disk of a VM that is down by an empty one.
 void LoseDisk(SimulatedCluster& cluster, const NodeId& id);
+// Stops the VM without ending it; messages and timers wait for `length`.
+void PauseVm(SimulatedCluster& cluster, const NodeId& id, Duration length);
+// The time on the VM's own clock.
+SteadyTime LocalTime(const SimulatedCluster& cluster, const SimulatedVm& vm);
 void Schedule(SimulatedCluster& cluster, const Fault& fault);
 // Runs until `duration` has passed or `max_steps` events were processed.
 void Run(SimulatedCluster& cluster,
--- a/tests/control/member_repair_test.cc
+++ b/tests/control/member_repair_test.cc
@@ -5,9 +5,11 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "gooseberryrock/control/member_repair.h"
+#include "gooseberryrock/control/membership_view.h"
 
 namespace gooseberryrock::control {
 namespace {
@@ -30,7 +32,9 @@
   }
 
   std::optional<consensus::MembershipChange> Next() const {
-    return NextRepair(kSelf, membership_, contacts_, RepairPolicy(), kNow);
+    return NextRepair(
+        {kSelf, membership_, caught_up_, contacts_, listening_since_, kNow},
+        policy_);
   }
 
   void Apply(const consensus::MembershipChange& change) {
@@ -48,8 +52,11 @@
     }
   }
 
+  const RepairPolicy policy_ = MakeRepairPolicy(1, seconds(4));
   Membership membership_;
   std::map<NodeId, VmContact> contacts_;
+  std::set<NodeId> caught_up_ = {{"b"}, {"c"}, {"d"}};
+  SteadyTime listening_since_ = kNow - std::chrono::minutes(1);
 };
 
 // Guards against unnecessary changes of a healthy membership.
@@ -99,12 +106,78 @@
   Apply(*change);
   change = Next();
   ASSERT_TRUE(change);
+  EXPECT_EQ(change->action, MembershipAction::kPromote);
+  EXPECT_EQ(change->node.value, "d");
+  Apply(*change);
+  change = Next();
+  ASSERT_TRUE(change);
   EXPECT_EQ(change->action, MembershipAction::kRemove);
   EXPECT_EQ(change->node.value, "c");
   Apply(*change);
-  change = Next();
+  EXPECT_FALSE(Next());
+}
+
+// Guards against a lost VM that keeps its vote for longer than a deployment
+// allows for its replacement.
+TEST_F(MemberRepairTest, VoteIsHandedOverWithinTheReplacementTime) {
+  const RepairPolicy policy = MakeRepairPolicy(1, seconds(4));
+  EXPECT_LT(policy.voter_timeout + 2 * policy.check_interval, seconds(4));
+  membership_.members[{"d"}] = {"disk-d", "d", false};
+  contacts_[{"d"}] = {"disk-d", kNow};
+  contacts_[{"c"}].last_contact = kNow - policy.voter_timeout;
+  const auto change = Next();
+  ASSERT_TRUE(change);
+  EXPECT_EQ(change->action, MembershipAction::kPromote);
+}
+
+// Guards against a leader that takes others for lost because it was itself
+// suspended, or has just started.
+TEST_F(MemberRepairTest, SilenceBeforeListeningDoesNotCount) {
+  membership_.members[{"d"}] = {"disk-d", "d", false};
+  contacts_[{"d"}] = {"disk-d", kNow};
+  contacts_[{"c"}].last_contact = kNow - seconds(20);
+  listening_since_ = kNow - seconds(1);
+  EXPECT_FALSE(Next());
+}
+
+// Guards against a vote that is handed to a VM without the entries: the log
+// would wait for it.
+TEST_F(MemberRepairTest, LearnerThatLagsIsNotPromoted) {
+  membership_.members[{"d"}] = {"disk-d", "d", false};
+  contacts_[{"d"}] = {"disk-d", kNow};
+  contacts_[{"c"}].last_contact = kNow - seconds(20);
+  caught_up_.erase({"d"});
+  EXPECT_FALSE(Next());
+}
+
+// Guards against a VM that shuts down with its vote although another one could
+// take it, and against one that is added again while it shuts down.
+TEST_F(MemberRepairTest, LeavingVmHandsOverItsVote) {
+  contacts_[{"c"}].leaving = true;
+  EXPECT_FALSE(Next());
+  membership_.members[{"d"}] = {"disk-d", "d", false};
+  contacts_[{"d"}] = {"disk-d", kNow};
+  auto change = Next();
   ASSERT_TRUE(change);
   EXPECT_EQ(change->action, MembershipAction::kPromote);
+  Apply(*change);
+  change = Next();
+  ASSERT_TRUE(change);
+  EXPECT_EQ(change->action, MembershipAction::kRemove);
+  EXPECT_EQ(change->node.value, "c");
+  Apply(*change);
+  EXPECT_FALSE(Next());
+}
+
+// Guards against an even number of voters that stays: the lost VM came back
+// between the promotion of its successor and its own removal.
+TEST_F(MemberRepairTest, SurplusVoterBecomesALearnerAgain) {
+  membership_.members[{"d"}] = {"disk-d", "d", true};
+  contacts_[{"d"}] = {"disk-d", kNow};
+  const auto change = Next();
+  ASSERT_TRUE(change);
+  EXPECT_EQ(change->action, MembershipAction::kRemove);
+  EXPECT_EQ(change->node.value, "d");
 }
 
 // Guards against more voters than the target: each additional voter increases
--- a/tests/control/voter_health_test.cc
+++ b/tests/control/voter_health_test.cc
@@ -6,8 +6,8 @@
 #include <map>
 #include <string>
 
-#include "gooseberryrock/consensus/membership.h"
 #include "gooseberryrock/control/member_repair.h"
+#include "gooseberryrock/control/membership_view.h"
 #include "gooseberryrock/control/voter_health.h"
 
 namespace gooseberryrock::control {
@@ -27,7 +27,8 @@
   }
 
   VoterHealth Assess() const {
-    return AssessVoters({"a"}, membership_, contacts_, RepairPolicy(), kNow);
+    return AssessVoters({{"a"}, membership_, {}, contacts_, {}, kNow},
+                        RepairPolicy());
   }
 
   consensus::Membership membership_;
