settings: intervals follow from the bounds that a deployment names

Looked for the same elsewhere: the polling of control VMs and its timeout (route_change_time_ms, server_drain_time_ms), the time for which servers are remembered after a restart and the heartbeats between nodes (contact_time_ms), and the time that a control VM takes to stop (stop_time_s) were constants that fit the present bounds only.

Ruled out: intervals that no bound limits stay constants (elections, waits of the operators' calls, which the protocol fixes, and the list of entry nodes).

Change: MakeTierIntervals() computes them; with the present bounds they are as before.

Conclusion: a deployment with other bounds gets intervals that meet them.

--- a/apps/node/tier_commands.cc
+++ b/apps/node/tier_commands.cc
@@ -21,6 +21,7 @@
 #include "gooseberryrock/platform/control_codec.h"
 #include "gooseberryrock/platform/entry_codec.h"
 #include "gooseberryrock/settings/settings_error.h"
+#include "gooseberryrock/settings/tier_intervals.h"
 #include "gooseberryrock/settings/tier_settings.h"
 #include "gooseberryrock/telemetry/log_event.h"
 
@@ -160,6 +161,13 @@
   entry.extra_attempts = {settings.extra_attempt_share, settings.extra_attempts,
                           settings.extra_attempt_window};
   entry.stop_time = settings.stop_time;
+  const settings::TierIntervals intervals =
+      settings::MakeTierIntervals(settings);
+  entry.poll_interval = intervals.poll_interval;
+  entry.poll_reply_timeout = intervals.poll_reply_timeout;
+  entry.remembered_server_lifetime = intervals.remembered_server_lifetime;
+  entry.peer_heartbeat_interval = intervals.peer_heartbeat_interval;
+  entry.peer_heartbeat_timeout = intervals.peer_heartbeat_timeout;
   const sigset_t signals = BlockSignals();
   entry::EntryNode node(entry, platform::GetEntryCodec());
   ServeUntilStopped(node, signals, settings, settings_path, TierRole::kEntry);
@@ -181,6 +189,12 @@
   control.metrics_endpoint = ToEndpoint(settings.metrics_address);
   control.tolerated_losses = settings.tolerated_losses;
   control.replacement_time = settings.replacement_time;
+  const settings::TierIntervals intervals =
+      settings::MakeTierIntervals(settings);
+  control.remembered_servers_time = intervals.remembered_servers_time;
+  control.peer_heartbeat_interval = intervals.peer_heartbeat_interval;
+  control.peer_heartbeat_timeout = intervals.peer_heartbeat_timeout;
+  control.drain_time = intervals.control_drain_time;
   const sigset_t signals = BlockSignals();
   control::ControlNode node(control, platform::GetControlCodec());
   ServeUntilStopped(node, signals, settings, settings_path, TierRole::kControl);
--- a/libs/control/include/gooseberryrock/control/control_settings.h
+++ b/libs/control/include/gooseberryrock/control/control_settings.h
@@ -37,6 +37,14 @@
   // Time after the start of a lost VM's successor, or after the return of a VM,
   // from which on the next loss must be tolerated.
   Duration replacement_time = std::chrono::seconds(4);
+  // Time after a start for which the servers of the stored list are named to
+  // entry nodes.
+  Duration remembered_servers_time = std::chrono::milliseconds(1200);
+  Duration peer_heartbeat_interval = std::chrono::milliseconds(500);
+  Duration peer_heartbeat_timeout = std::chrono::milliseconds(1500);
+  // Time for calls in progress, and for the handover of the vote, when the VM
+  // stops.
+  Duration drain_time = std::chrono::seconds(2);
 };
 
 }  // namespace gooseberryrock::control
--- a/libs/control/src/control_node.cc
+++ b/libs/control/src/control_node.cc
@@ -65,18 +65,12 @@
 constexpr unsigned kWorkers = 10;
 constexpr size_t kMaxWaitingCalls = 64;
 constexpr size_t kMaxCallBytes = size_t{4} << 20U;
-// Time after a start during which servers from the stored list are sent to
-// entry nodes. Together with the 2.5 s for which entry nodes use them, it stays
-// below the 4 s of contact after which deployments rely on the known servers.
-constexpr Duration kRememberedServersTime = std::chrono::milliseconds(1200);
 // Time after a start for which the stored server list is kept unchanged. Leaves
 // servers time for two announcements, 1.2 s apart.
 constexpr Duration kKeepStoredListTime = std::chrono::milliseconds(2500);
 // Minimum interval between writes of the server list, which only needs to be
 // approximately current.
 constexpr Duration kSaveServersInterval = std::chrono::seconds(1);
-// Time for calls in progress to complete during shutdown.
-constexpr Duration kStopTime = std::chrono::seconds(2);
 constexpr Duration kStopCheck = std::chrono::milliseconds(20);
 
 peer::PeerSocketOptions SocketOptions(const ControlSettings& settings,
@@ -86,6 +80,8 @@
   options.cluster_key = settings.cluster_key;
   options.self = {settings.node, settings.node.value, settings.peer_port};
   options.incarnation = incarnation;
+  options.heartbeat_interval = settings.peer_heartbeat_interval;
+  options.heartbeat_timeout = settings.peer_heartbeat_timeout;
   return options;
 }
 
@@ -464,8 +460,8 @@
                                              settings.data_folder);
       telemetry::LogEvent(LogLevel::kInfo, "servers_loaded",
                           {{"servers", std::to_string(records.size())}});
-      registry.SetRememberedServers(std::move(records),
-                                    started_at + kRememberedServersTime);
+      registry.SetRememberedServers(
+          std::move(records), started_at + settings.remembered_servers_time);
     } catch (const storage::StorageError& e) {
       telemetry::LogEvent(LogLevel::kWarning, "servers_not_loaded",
                           {{"error", e.what()}});
@@ -623,7 +619,7 @@
   impl_->log->TransferLeadership();
   impl_->server->StartDraining();
   impl_->server->StopAccepting();
-  const SteadyTime end = BootTime() + kStopTime;
+  const SteadyTime end = BootTime() + impl_->settings.drain_time;
   std::mutex wait_mutex;
   std::condition_variable wait;
   std::unique_lock lock(wait_mutex);
--- a/libs/entry/include/gooseberryrock/entry/entry_settings.h
+++ b/libs/entry/include/gooseberryrock/entry/entry_settings.h
@@ -31,6 +31,15 @@
   // Number of I/O shards, each with its own thread; usually one per core.
   unsigned io_shards = 1;
   relay::ExtraAttemptLimit extra_attempts;
+  // Polling of control VMs; one that has not replied for the timeout is not
+  // relied on.
+  Duration poll_interval = std::chrono::milliseconds(250);
+  Duration poll_reply_timeout = std::chrono::milliseconds(750);
+  // How long servers are used that a control VM knew before its restart and
+  // that have not announced themselves.
+  Duration remembered_server_lifetime = std::chrono::milliseconds(2500);
+  Duration peer_heartbeat_interval = std::chrono::milliseconds(500);
+  Duration peer_heartbeat_timeout = std::chrono::milliseconds(1500);
   // Time from the stop signal to the end of the process.
   Duration stop_time = std::chrono::seconds(6);
 };
--- a/libs/entry/src/control_poller.cc
+++ b/libs/entry/src/control_poller.cc
@@ -31,24 +31,13 @@
 
 using telemetry::LogLevel;
 
-// Changes reach the node within this interval and a round trip; a tenth of the
-// 3 s in which a change has to take effect.
-constexpr Duration kPollInterval = std::chrono::milliseconds(250);
 // Polling interval until the node has received a server directory.
 constexpr Duration kStartPollInterval = std::chrono::milliseconds(50);
-// A control VM that has not replied for this long is not relied on: two
-// consecutive polls were lost.
-constexpr Duration kReplyTimeout = std::chrono::milliseconds(750);
 // The connection to a control VM that is no longer polled is closed after this
 // time, which is longer than a leader election or a restart, during which nodes
 // poll other control VMs temporarily.
 constexpr Duration kUnpolledConnectionTimeout = std::chrono::seconds(10);
 
-// How long remembered servers are used: two announcements, which servers send
-// every 1.2 s. A state change announced just before all VMs lost power is lost,
-// so this must not be much longer.
-constexpr Duration kRememberedServerLifetime = std::chrono::milliseconds(2500);
-
 // A starting node reads the directories of this many control VMs, because one
 // that lost its disk or was partitioned may not know all servers yet.
 constexpr size_t kInitialDirectories = 3;
@@ -66,16 +55,14 @@
   uint64_t directory_count = 0;
 };
 
-bool IsUpToDate(const ControlVm& vm, SteadyTime now) {
-  return vm.current && vm.replied_at && now - *vm.replied_at < kReplyTimeout;
-}
-
 peer::PeerSocketOptions SocketOptions(const EntrySettings& settings) {
   peer::PeerSocketOptions options;
   options.cluster = settings.cluster;
   options.cluster_key = settings.cluster_key;
   options.self = {settings.node, settings.node.value, settings.peer_port};
   options.incarnation = peer::MakeIncarnation();
+  options.heartbeat_interval = settings.peer_heartbeat_interval;
+  options.heartbeat_timeout = settings.peer_heartbeat_timeout;
   return options;
 }
 
@@ -122,12 +109,18 @@
             {{"servers", std::to_string(expired_servers.size())}});
         events.on_servers(expired_servers);
       }
-      changed.wait_for(lock, has_directory ? kPollInterval : kStartPollInterval,
-                       [this] { return stopping || poll_now; });
+      changed.wait_for(
+          lock, has_directory ? settings.poll_interval : kStartPollInterval,
+          [this] { return stopping || poll_now; });
       poll_now = false;
     }
   }
 
+  bool IsUpToDate(const ControlVm& vm, SteadyTime now) const {
+    return vm.current && vm.replied_at &&
+           now - *vm.replied_at < settings.poll_reply_timeout;
+  }
+
   // Polls the control VMs of the node's failure domain up to the first one that
   // is up to date, or otherwise one elsewhere that is. If there is none, the
   // others are polled, mostly without their directories: when many nodes lose
@@ -297,7 +290,7 @@
       records.push_back(proto::FromMessage(it));
     }
     const auto remembered = AddRememberedServers(
-        known_servers, records, now + kRememberedServerLifetime);
+        known_servers, records, now + settings.remembered_server_lifetime);
     if (!remembered.empty()) {
       telemetry::LogEvent(LogLevel::kInfo, "servers_remembered",
                           {{"control_vm", control_vm.value},
--- a/libs/settings/include/gooseberryrock/settings/tier_settings.h
+++ b/libs/settings/include/gooseberryrock/settings/tier_settings.h
@@ -50,6 +50,15 @@
   // Time after the start of a lost VM's successor, or after the return of a VM,
   // from which on the next loss must be survived.
   Duration replacement_time = std::chrono::seconds(4);
+  // Time after a disturbance from which on a node must act on what the others
+  // know.
+  Duration contact_time = std::chrono::seconds(4);
+  // Time from the acknowledgement of new routes until they are in force at all
+  // nodes.
+  Duration route_change_time = std::chrono::seconds(3);
+  // Time from the acknowledgement that a server drains until it gets no more
+  // requests.
+  Duration server_drain_time = std::chrono::seconds(3);
   // Time limit from the stop signal to the exit of the process.
   Duration stop_time = std::chrono::seconds(6);
 };
--- a/libs/settings/src/tier_settings.cc
+++ b/libs/settings/src/tier_settings.cc
@@ -26,6 +26,8 @@
 constexpr double kMaxSeconds = 600;
 // An election after the loss of the leader takes up to 2.4 s.
 constexpr double kMinReplacementSeconds = 3;
+constexpr double kMinMilliseconds = 500;
+constexpr double kMaxMilliseconds = 600'000;
 constexpr double kMaxExtraAttemptShare = 1;
 constexpr double kMaxExtraAttempts = 1e6;
 constexpr size_t kMaxControlVms = 64;
@@ -86,6 +88,15 @@
       root, key, min_seconds, kMaxSeconds, Seconds(default_value).count())));
 }
 
+Duration ReadMilliseconds(const JsonObject& root,
+                          std::string_view key,
+                          Duration default_value) {
+  using Milliseconds = std::chrono::duration<double, std::milli>;
+  return std::chrono::duration_cast<Duration>(
+      Milliseconds(ReadNumber(root, key, kMinMilliseconds, kMaxMilliseconds,
+                              Milliseconds(default_value).count())));
+}
+
 std::vector<Address> ReadControlVms(const JsonObject& root) {
   std::vector<Address> addresses;
   const Json* field = FindField(root, "control_vms", Presence::kRequired);
@@ -149,6 +160,12 @@
   settings.replacement_time =
       ReadSeconds(root, "replacement_time_s", settings.replacement_time,
                   kMinReplacementSeconds);
+  settings.contact_time =
+      ReadMilliseconds(root, "contact_time_ms", settings.contact_time);
+  settings.route_change_time = ReadMilliseconds(root, "route_change_time_ms",
+                                                settings.route_change_time);
+  settings.server_drain_time = ReadMilliseconds(root, "server_drain_time_ms",
+                                                settings.server_drain_time);
   settings.extra_attempt_share =
       ReadNumber(root, "extra_attempt_share", 0, kMaxExtraAttemptShare,
                  settings.extra_attempt_share);
--- a/tests/process/tier_test.cc
+++ b/tests/process/tier_test.cc
@@ -106,7 +106,8 @@
     const auto end = std::chrono::steady_clock::now() + seconds(2);
     do {
       control = cluster_.ControlMetrics(i);
-    } while (MetricValue(control, "gbr_routes_version") != 5 &&
+    } while ((MetricValue(control, "gbr_routes_version") != 5 ||
+              MetricValue(control, "gbr_log_voters_present") != 3) &&
              std::chrono::steady_clock::now() < end);
     EXPECT_EQ(MetricValue(control, "gbr_routes_version"), 5);
     EXPECT_EQ(MetricValue(control, "gbr_servers_ready"), 8);
--- a/tests/settings/tier_settings_test.cc
+++ b/tests/settings/tier_settings_test.cc
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "gooseberryrock/settings/settings_error.h"
+#include "gooseberryrock/settings/tier_intervals.h"
 #include "gooseberryrock/settings/tier_settings.h"
 
 namespace gooseberryrock::settings {
@@ -40,5 +41,38 @@
   EXPECT_THROW(Load(R"(, "replacement_time_s": 2)"), SettingsError);
 }
 
+// Guards against intervals that are longer than a bound which they have to
+// meet: a change must reach a node although two polls are lost, and a server
+// that left while all VMs were down must not be used for longer than the
+// contact time.
+TEST_F(TierSettingsTest, IntervalsMeetTheBounds) {
+  for (const int ms : {500, 1000, 4000, 60'000}) {
+    const Duration bound = std::chrono::milliseconds(ms);
+    const std::string value = std::to_string(ms);
+    const TierIntervals intervals =
+        MakeTierIntervals(Load(", \"contact_time_ms\": " + value +
+                               ", \"route_change_time_ms\": " + value +
+                               ", \"server_drain_time_ms\": " + value));
+    EXPECT_LT(intervals.remembered_servers_time +
+                  intervals.remembered_server_lifetime,
+              bound);
+    EXPECT_LT(intervals.peer_heartbeat_timeout, bound);
+    EXPECT_LT(intervals.poll_interval + intervals.poll_reply_timeout, bound);
+  }
+}
+
+// Guards against a change of the intervals in the current deployments, whose
+// traffic they were chosen for.
+TEST_F(TierSettingsTest, IntervalsOfTheDefaultBounds) {
+  const TierIntervals intervals = MakeTierIntervals(Load(""));
+  using std::chrono::milliseconds;
+  EXPECT_EQ(intervals.poll_interval, milliseconds(250));
+  EXPECT_EQ(intervals.poll_reply_timeout, milliseconds(750));
+  EXPECT_EQ(intervals.remembered_servers_time, milliseconds(1200));
+  EXPECT_EQ(intervals.remembered_server_lifetime, milliseconds(2500));
+  EXPECT_EQ(intervals.peer_heartbeat_timeout, milliseconds(1500));
+  EXPECT_EQ(intervals.control_drain_time, milliseconds(2000));
+}
+
 }  // namespace
 }  // namespace gooseberryrock::settings
