gbrnode: recover a log that has lost its majority for good

Ruled out: electing a leader without a majority by itself. The VMs that are silent may only be cut off, and two logs would then go on.

The others join it with empty disks. It refuses while the VM runs, and on a folder without a log.

--- a/apps/node/main.cc
+++ b/apps/node/main.cc
@@ -109,6 +109,14 @@
   CLI::App& control_command =
       AddRoleCommand(app, "control", "Keeps the routes and the list of servers",
                      settings_path);
+  bool confirmed = false;
+  CLI::App& recover_command =
+      AddRoleCommand(app, "recover",
+                     "Shows the stored log of a stopped control VM, or makes "
+                     "the VM its only voter",
+                     settings_path);
+  recover_command.add_flag("--sole-voter", confirmed,
+                           "Give up all other copies of the log");
   app.add_flag("--check", check_only,
                "Print all problems of the settings and stop; "
                "exit code 0 (valid) or 2");
@@ -119,7 +127,8 @@
       "SIGTERM stops the node after the queries in flight.");
   try {
     app.parse(argc, argv);
-    if (!entry_command && !control_command && settings_option->count() == 0) {
+    if (!entry_command && !control_command && !recover_command &&
+        settings_option->count() == 0) {
       throw CLI::RequiredError("--settings");
     }
   } catch (const CLI::ParseError& e) {
@@ -133,6 +142,10 @@
     if (control_command) {
       gooseberryrock::RunControlNode(settings_path);
     }
+    if (recover_command) {
+      gooseberryrock::RecoverLog(settings_path, confirmed);
+      return EXIT_SUCCESS;
+    }
     return CheckAndRun(settings_path, check_only);
   } catch (const gooseberryrock::Error& e) {
     std::cerr << "gbrnode: " << e.what() << "\n";
--- a/apps/node/tier_commands.cc
+++ b/apps/node/tier_commands.cc
@@ -11,13 +11,18 @@
 #include <ctime>
 #include <filesystem>
 #include <functional>
+#include <iostream>
 #include <system_error>
 #include <vector>
 
 #include "gooseberryrock/control/control_node.h"
 #include "gooseberryrock/control/control_settings.h"
+#include "gooseberryrock/control/log_recovery.h"
 #include "gooseberryrock/entry/entry_node.h"
 #include "gooseberryrock/entry/entry_settings.h"
+#include "gooseberryrock/peer/frame.h"
+#include "gooseberryrock/peer/incarnation.h"
+#include "gooseberryrock/peer/peer_socket.h"
 #include "gooseberryrock/platform/control_codec.h"
 #include "gooseberryrock/platform/entry_codec.h"
 #include "gooseberryrock/settings/settings_error.h"
@@ -200,4 +205,32 @@
   ServeUntilStopped(node, signals, settings, settings_path, TierRole::kControl);
 }
 
+void RecoverLog(const std::string& settings_path, bool confirmed) {
+  const TierSettings settings =
+      settings::LoadTierSettings(settings_path, TierRole::kControl);
+  const NodeId node = {settings.address};
+  // Throws if the VM runs: its process holds the address.
+  peer::PeerSocketOptions options;
+  options.cluster = settings.cluster;
+  options.cluster_key = settings.cluster_key;
+  options.self = {node, node.value, settings.peer_port};
+  options.incarnation = peer::MakeIncarnation();
+  const peer::PeerSocket address(options, [](const peer::PeerFrame&) {});
+  const control::StoredLog log =
+      confirmed
+          ? control::MakeSoleVoter(settings.data_folder, settings.cluster, node)
+          : control::ReadStoredLog(settings.data_folder, settings.cluster,
+                                   node);
+  std::cout << "last entry: term " << log.last.term << ", index "
+            << log.last.index << "\nvoters:";
+  for (const auto& [id, member] : log.membership.members) {
+    std::cout << (member.voter ? " " + id.value : "");
+  }
+  std::cout << "\nlearners:";
+  for (const auto& [id, member] : log.membership.members) {
+    std::cout << (member.voter ? "" : " " + id.value);
+  }
+  std::cout << "\n";
+}
+
 }  // namespace gooseberryrock
--- a/apps/node/tier_commands.h
+++ b/apps/node/tier_commands.h
@@ -13,6 +13,11 @@
 [[noreturn]] void RunEntryNode(const std::string& settings_path);
 [[noreturn]] void RunControlNode(const std::string& settings_path);
 
+// Prints the end and the members of the log on the disk of a control VM that
+// does not run. With `confirmed`, makes that VM the only voter of the log.
+// Throws gooseberryrock::Error, also if the VM runs.
+void RecoverLog(const std::string& settings_path, bool confirmed);
+
 }  // namespace gooseberryrock
 
 #endif  // GOOSEBERRYROCK_APPS_NODE_TIER_COMMANDS_H_
--- a/tests/process/tier_cluster.cc
+++ b/tests/process/tier_cluster.cc
@@ -161,6 +161,14 @@
   std::filesystem::remove_all(folder_ + "/control-" + std::to_string(i));
 }
 
+bool TierCluster::RecoverControl(size_t i) {
+  const std::string name = folder_ + "/control-" + std::to_string(i);
+  Process command(
+      {GBRNODE_PATH, "recover", "--settings", name + ".json", "--sole-voter"},
+      name + "-recover.log");
+  return command.WaitForExit(std::chrono::seconds(5)) == 0;
+}
+
 void TierCluster::HandleServerRequest(
     size_t server,
     const std::shared_ptr<transport::Exchange>& exchange) {
--- a/tests/process/tier_cluster.h
+++ b/tests/process/tier_cluster.h
@@ -39,6 +39,9 @@
   Process& Entry(size_t i) { return *entries_[i]; }
   // Deletes the data folder of a control VM, which must not be running.
   void DeleteControlData(size_t i);
+  // Runs `gbrnode recover` on the data folder of a control VM and makes it the
+  // sole voter. Returns whether the command succeeded.
+  bool RecoverControl(size_t i);
 
   // Sends one request. Returns nullopt when no response arrives within
   // `timeout`.
--- a/tests/process/tier_test.cc
+++ b/tests/process/tier_test.cc
@@ -229,6 +229,44 @@
   EXPECT_TRUE(WaitForRoutesVersion(5 + kControlVms, seconds(5)));
 }
 
+// Guards against routes that are on a disk, but that no operator can bring back
+// into force once two of three disks are lost.
+TEST_F(TierTest, LostMajorityIsRecoveredByAnOperator) {
+  ASSERT_TRUE(cluster_.PutRoutes(5));
+  // A majority has the routes; the VM whose disk is kept may follow later.
+  const size_t kept = 0;
+  const auto stored = std::chrono::steady_clock::now() + seconds(5);
+  while (MetricValue(cluster_.ControlMetrics(kept), "gbr_routes_version") !=
+             5 &&
+         std::chrono::steady_clock::now() < stored) {
+    std::this_thread::sleep_for(milliseconds(50));
+  }
+  EXPECT_FALSE(cluster_.RecoverControl(kept)) << "the VM runs";
+  for (size_t i = 0; i < kControlVms; ++i) {
+    cluster_.Control(i).Signal(SIGKILL);
+    cluster_.Control(i).WaitForExit(seconds(2));
+  }
+  ASSERT_TRUE(cluster_.RecoverControl(kept));
+  for (size_t i = 1; i < kControlVms; ++i) {
+    cluster_.DeleteControlData(i);
+    EXPECT_FALSE(cluster_.RecoverControl(i)) << "the data folder is lost";
+  }
+  for (size_t i = 0; i < kControlVms; ++i) {
+    cluster_.StartControl(i, /*first_start=*/false);
+  }
+  EXPECT_TRUE(WaitForRoutesVersion(5, seconds(10)));
+  EXPECT_TRUE(cluster_.PutRoutes(6));
+  const auto end = std::chrono::steady_clock::now() + seconds(10);
+  while (MetricValue(cluster_.ControlMetrics(kept),
+                     "gbr_log_tolerated_losses") != 1 &&
+         std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(milliseconds(50));
+  }
+  const std::string metrics = cluster_.ControlMetrics(kept);
+  EXPECT_EQ(MetricValue(metrics, "gbr_log_voters"), 3);
+  EXPECT_EQ(MetricValue(metrics, "gbr_log_tolerated_losses"), 1);
+}
+
 // Guards against a graceful stop that aborts requests, exceeds the stop time,
 // or runs a non-idempotent request twice.
 TEST_F(TierTest, GracefulStopAbortsNoRequest) {
