entry: read and log the request rate that a server accepts

Callers saw nothing; servers in need got up to 300 requests in 4 s where 216 were allowed, and nothing at the entry nodes said that they had named a limit.

Change: the adapter reads the statement, a reply without it lifts the limit unless its request was sent before. Entry nodes log when a limit is named, changes or ends, and expose gbr_servers_limited. A statement that is not one finite number, or is negative, is counted and logged and changes nothing. The limit is not used yet.

Conclusion: the cause is that no node read the limit.

--- a/libs/entry/src/entry_node.cc
+++ b/libs/entry/src/entry_node.cc
@@ -93,11 +93,15 @@
       total.requests_in_flight += counts.requests_in_flight;
       // Every shard knows all servers.
       total.servers_ready = counts.servers_ready;
+      total.servers_limited =
+          std::max(total.servers_limited, counts.servers_limited);
     }
     SetGauge(metrics, Gauge::kQueriesInFlight,
              static_cast<double>(total.requests_in_flight));
     SetGauge(metrics, Gauge::kServersReady,
              static_cast<double>(total.servers_ready));
+    SetGauge(metrics, Gauge::kServersLimited,
+             static_cast<double>(total.servers_limited));
     const ControlPollerStatus status = control->Status();
     SetGauge(metrics, Gauge::kRoutesVersion,
              static_cast<double>(status.routes_version));
--- a/libs/entry/src/entry_shard.cc
+++ b/libs/entry/src/entry_shard.cc
@@ -231,6 +231,11 @@
     counts.servers_ready += static_cast<size_t>(
         std::count_if(pool.servers.begin(), pool.servers.end(),
                       [](const relay::PoolServer& it) { return it.usable; }));
+    counts.servers_limited += static_cast<size_t>(std::count_if(
+        pool.servers.begin(), pool.servers.end(),
+        [](const relay::PoolServer& it) {
+          return it.usable && it.request_limit.per_second.has_value();
+        }));
   }
   return counts;
 }
--- a/libs/entry/src/entry_shard.h
+++ b/libs/entry/src/entry_shard.h
@@ -43,6 +43,7 @@
 struct ShardCounts {
   size_t requests_in_flight = 0;
   size_t servers_ready = 0;
+  size_t servers_limited = 0;
 };
 
 class EntryShard {
@@ -100,6 +101,11 @@
   void Transmit(AttemptKey key, const ConnectionPtr& connection);
   void OnReply(AttemptKey key, transport::Reply reply);
   void OnMatchingReply(AttemptKey key, transport::Reply reply);
+  // Records the limit that a reply names, or that it names none.
+  void UpdateLimit(relay::PoolServer& server,
+                   const relay::ServerReply& reply,
+                   SteadyTime sent_at,
+                   SteadyTime now);
   void OnLost(AttemptKey key, relay::AttemptResult result);
   void OnNoConnection(AttemptKey key);
   void HandleCallerDisconnect(RequestNumber number);
--- a/libs/entry/src/entry_shard_attempts.cc
+++ b/libs/entry/src/entry_shard_attempts.cc
@@ -195,6 +195,7 @@
     if (decoded.load) {
       relay::RecordLoad(server->stats, *decoded.load, now);
     }
+    UpdateLimit(*server, decoded, in_flight_attempt.sent_at, now);
     if (decoded.kind == relay::ReplyKind::kOtherServer) {
       server->usable = false;
       telemetry::LogEvent(LogLevel::kWarning, "server_replaced",
@@ -228,6 +229,29 @@
                                      std::move(decoded), Context(), now));
 }
 
+void EntryShard::UpdateLimit(relay::PoolServer& server,
+                             const relay::ServerReply& reply,
+                             SteadyTime sent_at,
+                             SteadyTime now) {
+  if (reply.has_malformed_limit) {
+    Increment(metrics_, Counter::kServerLimitsMalformed);
+    telemetry::LogEvent(LogLevel::kWarning, "server_limit_malformed",
+                        {{"server", server.id.value}});
+    return;
+  }
+  const std::optional<double> before = server.request_limit.per_second;
+  relay::RecordLimit(server.request_limit, reply.request_limit, sent_at, now);
+  const std::optional<double> after = server.request_limit.per_second;
+  if (before == after) {
+    return;
+  }
+  telemetry::LogEvent(LogLevel::kInfo,
+                      after ? "server_limited" : "server_limit_lifted",
+                      {{"server", server.id.value},
+                       {"service", records_.at(server.id).service.value},
+                       {"per_second", std::to_string(after.value_or(0))}});
+}
+
 void EntryShard::OnLost(AttemptKey key, relay::AttemptResult result) {
   const InFlightAttempt in_flight_attempt = RemoveAttempt(key);
   const SteadyTime now = BootTime();
--- a/libs/entry/src/entry_shard_servers.cc
+++ b/libs/entry/src/entry_shard_servers.cc
@@ -118,6 +118,7 @@
     server->stats = {};
     server->stats.outstanding = outstanding;
     server->stats.overdue = overdue;
+    server->request_limit = {};
   }
   server->incarnation = record.incarnation;
   server->host = record.host;
--- a/libs/relay/include/gooseberryrock/relay/pool_server.h
+++ b/libs/relay/include/gooseberryrock/relay/pool_server.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "gooseberryrock/base/ids.h"
+#include "gooseberryrock/relay/request_limit.h"
 #include "gooseberryrock/relay/server_stats.h"
 
 namespace gooseberryrock::relay {
@@ -34,6 +35,7 @@
   // Attempts waiting for a connection.
   uint32_t queued = 0;
   ServerStats stats;
+  RequestLimit request_limit;
 
   // Whether the server accepts new attempts.
   bool AcceptsWork() const { return usable && connection_share > 0; }
--- a/libs/relay/include/gooseberryrock/relay/server_reply.h
+++ b/libs/relay/include/gooseberryrock/relay/server_reply.h
@@ -30,6 +30,11 @@
   std::string body;
   // Number of requests running or queued at the server, if reported.
   std::optional<uint32_t> load;
+  // Requests per second that the server accepts from all nodes together, if it
+  // names a limit; finite and not negative.
+  std::optional<double> request_limit;
+  // The reply states a limit that cannot be read.
+  bool has_malformed_limit = false;
 };
 
 }  // namespace gooseberryrock::relay
--- a/tests/platform/entry_codec_test.cc
+++ b/tests/platform/entry_codec_test.cc
@@ -85,6 +85,29 @@
   }
 }
 
+// Guards against a limit that is misread: a server could be given up for hours
+// by one wrong reply.
+TEST(EntryCodecTest, ReadsRequestLimit) {
+  const auto decode = [](const std::string& value) {
+    return DecodeReply(http::status::ok, "Server-Limit", value);
+  };
+  EXPECT_EQ(decode("30.25").request_limit, 30.25);
+  EXPECT_EQ(decode("0").request_limit, 0);
+  EXPECT_FALSE(decode("7").has_malformed_limit);
+  for (const char* text :
+       {"", "-1", "a", "1e9", "inf", "nan", "0x10", "3,4", "5 6", "+5"}) {
+    EXPECT_FALSE(decode(text).request_limit) << text;
+    EXPECT_TRUE(decode(text).has_malformed_limit) << text;
+  }
+  Response repeated(http::status::ok, 11);
+  repeated.insert("Server-Limit", "3");
+  repeated.insert("Server-Limit", "4");
+  EXPECT_TRUE(Codec().parse_reply(repeated).has_malformed_limit);
+  const relay::ServerReply without = DecodeReply(http::status::ok);
+  EXPECT_FALSE(without.request_limit);
+  EXPECT_FALSE(without.has_malformed_limit);
+}
+
 // Guards against a partial answer without the number of missing shards, and a
 // refusal without Retry-After.
 TEST(EntryCodecTest, EncodesAnswers) {
