relay: keep to the request rate that a server accepts from all nodes

Callers saw nothing; servers in need got up to 300 requests in 4 s where 216 were allowed.

Cause: no entry node used the limit that servers name in their replies. Class of fault: a rule on the load of all nodes together that no node knew its part of.

Ruled out: division among too few nodes, and hedges or retries beyond the limit; nothing read the limit. Telling other nodes of limits, which would let them learn sooner of an end: the limit is met without it.

Change: each I/O shard uses the part of the limit that it has of the server's connections, which leaves most of it to the nodes that prefer the server. The attempt counts when the server is chosen, so that first attempts, hedges, retries and probes keep to it alike, and no longer counts when it is given up unsent. Requests of one second may accumulate; less urgent ranks leave a part of those to more urgent ones. A shard whose servers are all at their limits counts as unavailable: it is left out, or the request refused at once with reason=servers_limited and the time at which the next one may go. A request that is refused for want of shards takes nothing from the limits of the others.

--- a/apps/ctl/explain_command.cc
+++ b/apps/ctl/explain_command.cc
@@ -54,6 +54,8 @@
      "refused, not run: the servers' queues were too long to answer in time"},
     {"request_refused", "servers_refused",
      "refused, not run: each server that was asked refused it"},
+    {"request_refused", "servers_limited",
+     "refused, not run: the servers accept fewer requests per second"},
     {"request_refused", "not_in_time",
      "refused, not run: its time was over before a server was reached"},
     {"request_failed", "timeout",
@@ -71,10 +73,11 @@
 
 // Events in which a node's view of the servers or of the control VMs changes.
 constexpr std::string_view kContextEvents[] = {
-    "attempt_lost",       "server_connect_failed", "server_changed",
-    "server_replaced",    "server_announced",      "server_withdrawn",
-    "servers_remembered", "control_lost",          "control_followed",
-    "routes_in_force",    "leadership_changed"};
+    "attempt_lost",        "server_connect_failed", "server_changed",
+    "server_replaced",     "server_announced",      "server_withdrawn",
+    "servers_remembered",  "control_lost",          "control_followed",
+    "routes_in_force",     "leadership_changed",    "server_limited",
+    "server_limit_lifted", "voters_changed"};
 
 std::string_view RequestId(const LogLine& line) {
   const std::string_view request = line.Field("request");
--- a/libs/entry/src/entry_shard.cc
+++ b/libs/entry/src/entry_shard.cc
@@ -285,7 +285,8 @@
       {{"request", active.caller.id},
        {"route", active.state.route->name},
        {"elapsed_ms", Milliseconds(BootTime() - active.state.received)}});
-  for (const auto& drop : relay::OnCallerDisconnected(active.state).drop) {
+  for (const auto& drop :
+       relay::OnCallerDisconnected(active.state, BootTime()).drop) {
     Drop(active, drop);
   }
   SetTimer(active, std::nullopt);
--- a/libs/entry/src/entry_shard.h
+++ b/libs/entry/src/entry_shard.h
@@ -117,7 +117,9 @@
   void OnTimer();
   void RunMaintenance();
   void UpdateServer(const ServerChange& change);
-  // Sets this shard's share of the connection limit of `server`.
+  uint32_t ConnectionLimitOf(const ServiceName& service) const;
+  // Sets this shard's share of the connection limit and of the request limit of
+  // `server`.
   void ApplyShare(relay::PoolServer& server);
   void ApplyShares(relay::ServicePool& pool);
   void ApplyAllShares();
--- a/libs/entry/src/entry_shard_attempts.cc
+++ b/libs/entry/src/entry_shard_attempts.cc
@@ -249,7 +249,8 @@
                       after ? "server_limited" : "server_limit_lifted",
                       {{"server", server.id.value},
                        {"service", records_.at(server.id).service.value},
-                       {"per_second", std::to_string(after.value_or(0))}});
+                       {"per_second", std::to_string(after.value_or(0))},
+                       {"share", std::to_string(server.request_limit.share)}});
 }
 
 void EntryShard::OnLost(AttemptKey key, relay::AttemptResult result) {
--- a/libs/entry/src/entry_shard_servers.cc
+++ b/libs/entry/src/entry_shard_servers.cc
@@ -131,26 +131,38 @@
   ApplyShares(pool);
 }
 
+uint32_t EntryShard::ConnectionLimitOf(const ServiceName& service) const {
+  if (table_) {
+    auto it = table_->set.services.find(service);
+    if (it != table_->set.services.end()) {
+      return std::max(1U, it->second.connection_limit);
+    }
+  }
+  return 1;
+}
+
 void EntryShard::ApplyShare(relay::PoolServer& server) {
   const directory::ServerRecord& record = records_.at(server.id);
   server.same_domain = record.failure_domain == plan_.place.domain;
+  const SteadyTime now = BootTime();
   if (plan_.reservation.empty()) {
     // The number of nodes that share the limit is not known yet.
     server.connection_share = 1;
     server.prewarmed_connections = server.same_domain ? 1 : 0;
+    relay::SetLimitShare(server.request_limit,
+                         1.0 / policy_.default_node_count / shards_, now);
     return;
   }
-  uint32_t limit = 1;
-  if (table_) {
-    auto it = table_->set.services.find(record.service);
-    if (it != table_->set.services.end()) {
-      limit = it->second.connection_limit;
-    }
-  }
+  const uint32_t limit = ConnectionLimitOf(record.service);
   const uint32_t share = directory::ConnectionShare(
       limit, plan_.reservation, record.failure_domain, plan_.place,
       Hash64(record.id.value));
   server.connection_share = share == 0 ? 0 : std::max(1U, share / shards_);
+  // Requests are divided like connections, which leaves most of them to the
+  // nodes that prefer the server. A node without a share may still be granted
+  // one connection.
+  relay::SetLimitShare(server.request_limit,
+                       std::max<double>(share, 1) / limit / shards_, now);
   const bool prewarm_other_domain = limit / kMinConnectionsPerNode >=
                                     directory::CountNodes(plan_.reservation);
   server.prewarmed_connections = server.same_domain     ? kPrewarmedSameDomain
--- a/libs/entry/src/outcome_log.cc
+++ b/libs/entry/src/outcome_log.cc
@@ -27,6 +27,8 @@
       return "overloaded";
     case relay::RefusalReason::kServersRefused:
       return "servers_refused";
+    case relay::RefusalReason::kServersLimited:
+      return "servers_limited";
     case relay::RefusalReason::kNotInTime:
       return "not_in_time";
   }
--- a/libs/relay/include/gooseberryrock/relay/choose_server.h
+++ b/libs/relay/include/gooseberryrock/relay/choose_server.h
@@ -51,16 +51,25 @@
 
 // Returns the index of the usable server with the lowest cost; ties are broken
 // at random. A failed server that is due for a probe is selected first, for one
-// attempt only. Returns nullopt if there is no candidate.
+// attempt only. Returns nullopt if there is no candidate. The attempt counts
+// towards the server's request limit.
 std::optional<size_t> ChooseServer(ServicePool& pool,
                                    const RelayPolicy& policy,
                                    const Selection& selection,
                                    std::mt19937_64& random,
                                    SteadyTime now);
 
-// Whether all usable servers of the pool have failed and none is due for a
-// probe.
-bool IsUnavailable(const ServicePool& pool, SteadyTime now);
+// Returns when the server may get a request: a failed one when it is due for a
+// probe, a limited one when its limit allows another. SteadyTime::max() if it
+// accepts no work.
+SteadyTime AvailableAt(const PoolServer& server, Rank rank, SteadyTime now);
+
+// Whether no server of the pool may get a request now: all usable ones have
+// failed and are not due for a probe, or are at their request limits.
+bool IsUnavailable(const ServicePool& pool, Rank rank, SteadyTime now);
+
+// Whether a usable server of the pool is at its request limit.
+bool IsLimited(const ServicePool& pool, Rank rank, SteadyTime now);
 
 }  // namespace gooseberryrock::relay
 
--- a/libs/relay/include/gooseberryrock/relay/outcome.h
+++ b/libs/relay/include/gooseberryrock/relay/outcome.h
@@ -34,6 +34,8 @@
   kShardsUnavailable,
   kOverloaded,
   kServersRefused,
+  // The servers accept fewer requests per second.
+  kServersLimited,
   kNotInTime,
 };
 
--- a/libs/relay/include/gooseberryrock/relay/request_machine.h
+++ b/libs/relay/include/gooseberryrock/relay/request_machine.h
@@ -62,7 +62,7 @@
 // The caller closed its connection. Idempotent requests are cancelled; others
 // run to completion, because stopping one halfway could leave it partially
 // applied.
-RequestEffects OnCallerDisconnected(RequestState& state);
+RequestEffects OnCallerDisconnected(RequestState& state, SteadyTime now);
 
 }  // namespace gooseberryrock::relay
 
--- a/libs/relay/src/choose_server.cc
+++ b/libs/relay/src/choose_server.cc
@@ -16,7 +16,8 @@
 bool IsCandidate(const PoolServer& server,
                  const Selection& selection,
                  SteadyTime now) {
-  if (!server.AcceptsWork()) {
+  if (!server.AcceptsWork() ||
+      !MaySend(server.request_limit, selection.rank, now)) {
     return false;
   }
   if (selection.only_healthy && IsSuspect(server.stats, now)) {
@@ -63,7 +64,8 @@
                          SteadyTime now) {
   Duration least = Duration::max();
   for (const PoolServer& it : pool.servers) {
-    if (it.AcceptsWork() && !IsSuspect(it.stats, now)) {
+    if (it.AcceptsWork() && !IsSuspect(it.stats, now) &&
+        MaySend(it.request_limit, selection.rank, now)) {
       least = std::min(least, ExpectedTime(pool, it, policy, selection, now));
     }
   }
@@ -114,6 +116,7 @@
     }
     if (IsDueForProbe(server, now)) {
       server.stats.next_probe = now + policy.max_probe_delay;
+      CountSend(server.request_limit, now);
       return i;
     }
     const Duration cost = ServerCost(pool, server, policy, selection, now);
@@ -128,14 +131,36 @@
       best_cost = cost;
     }
   }
+  if (best) {
+    CountSend(pool.servers[*best].request_limit, now);
+  }
   return best;
 }
 
-bool IsUnavailable(const ServicePool& pool, SteadyTime now) {
-  return std::all_of(
-      pool.servers.begin(), pool.servers.end(), [now](const PoolServer& it) {
-        return !it.AcceptsWork() ||
-               (IsSuspect(it.stats, now) && it.stats.consecutive_failures > 0);
+SteadyTime AvailableAt(const PoolServer& server, Rank rank, SteadyTime now) {
+  if (!server.AcceptsWork()) {
+    return SteadyTime::max();
+  }
+  const SteadyTime allowed_at = NextSendTime(server.request_limit, rank, now);
+  return server.stats.consecutive_failures > 0
+             ? std::max(server.stats.next_probe, allowed_at)
+             : allowed_at;
+}
+
+bool IsUnavailable(const ServicePool& pool, Rank rank, SteadyTime now) {
+  return std::all_of(pool.servers.begin(), pool.servers.end(),
+                     [&](const PoolServer& it) {
+                       return !it.AcceptsWork() ||
+                              (IsSuspect(it.stats, now) &&
+                               it.stats.consecutive_failures > 0) ||
+                              !MaySend(it.request_limit, rank, now);
+                     });
+}
+
+bool IsLimited(const ServicePool& pool, Rank rank, SteadyTime now) {
+  return std::any_of(
+      pool.servers.begin(), pool.servers.end(), [&](const PoolServer& it) {
+        return it.AcceptsWork() && !MaySend(it.request_limit, rank, now);
       });
 }
 
--- a/libs/relay/src/request_machine.cc
+++ b/libs/relay/src/request_machine.cc
@@ -88,6 +88,19 @@
   return true;
 }
 
+// An attempt that was not sent does not count towards the server's limit.
+void TakeBackUnsent(const RequestState& state,
+                    const RequestAttempt& attempt,
+                    SteadyTime now) {
+  if (attempt.sent) {
+    return;
+  }
+  if (PoolServer* server =
+          FindServer(*state.parts[attempt.part].pool, attempt.server)) {
+    TakeBackSend(server->request_limit, now);
+  }
+}
+
 void FailPart(RequestState& state, RequestPart& part) {
   if (!part.failed && !part.answered) {
     part.failed = true;
@@ -95,9 +108,13 @@
   }
 }
 
-void Finish(RequestState& state, Outcome outcome, RequestEffects& effects) {
+void Finish(RequestState& state,
+            Outcome outcome,
+            SteadyTime now,
+            RequestEffects& effects) {
   state.finished = true;
   for (const RequestAttempt& it : state.attempts) {
+    TakeBackUnsent(state, it, now);
     effects.drop.push_back({it.number, /*close=*/false});
   }
   state.attempts.clear();
@@ -127,27 +144,41 @@
                      [](const RequestPart& it) { return it.may_have_run; });
 }
 
-// Returns the time until every unavailable part has a server due for a probe,
-// but at least kDefaultRetryAfter. Parts without usable servers are left out.
+// Returns the time until every unavailable part has a server that may get a
+// request, but at least kDefaultRetryAfter. Parts without usable servers are
+// left out.
 Duration RetryDelay(const RequestState& state, SteadyTime now) {
   Duration wait = Duration::zero();
+  const Rank rank = state.route->rank;
   for (const RequestPart& part : state.parts) {
-    if (!IsUnavailable(*part.pool, now)) {
+    if (!IsUnavailable(*part.pool, rank, now)) {
       continue;
     }
-    Duration soonest = Duration::max();
+    SteadyTime soonest = SteadyTime::max();
     for (const PoolServer& it : part.pool->servers) {
-      if (it.AcceptsWork()) {
-        soonest = std::min(soonest, it.stats.next_probe - now);
-      }
+      soonest = std::min(soonest, AvailableAt(it, rank, now));
     }
-    if (soonest < Duration::max()) {
-      wait = std::max(wait, soonest);
+    if (soonest < SteadyTime::max()) {
+      wait = std::max(wait, soonest - now);
     }
   }
   return std::max(wait, kDefaultRetryAfter);
 }
 
+// Returns kServersLimited if a part cannot be served because of request limits,
+// otherwise `reason`.
+RefusalReason RefusalReasonOf(const RequestState& state,
+                              RefusalReason reason,
+                              SteadyTime now) {
+  const Rank rank = state.route->rank;
+  const bool limited = std::any_of(
+      state.parts.begin(), state.parts.end(), [&](const RequestPart& it) {
+        return IsUnavailable(*it.pool, rank, now) &&
+               IsLimited(*it.pool, rank, now);
+      });
+  return limited ? RefusalReason::kServersLimited : reason;
+}
+
 // The outcome of a request that can no longer succeed.
 Outcome FailureOutcome(const RequestState& state,
                        RefusalReason reason,
@@ -156,7 +187,8 @@
     return RelayedOutcome{state.failed_reply};
   }
   if (!MayHaveRun(state)) {
-    return RefusedOutcome{reason, RetryDelay(state, now)};
+    return RefusedOutcome{RefusalReasonOf(state, reason, now),
+                          RetryDelay(state, now)};
   }
   return FailedOutcome{state.IsGathered()      ? FailureReason::kTooFewShards
                        : state.connection_lost ? FailureReason::kConnectionLost
@@ -176,18 +208,18 @@
   const bool enough = state.parts_answered >= state.min_parts;
   if (state.IsGathered()) {
     if (enough && (all_ended || now >= state.partial_answer_at)) {
-      Finish(state, MakeGatheredOutcome(state, !all_ended), effects);
+      Finish(state, MakeGatheredOutcome(state, !all_ended), now, effects);
       return;
     }
     if (n - state.parts_failed < state.min_parts) {
       Finish(state,
-             FailureOutcome(state, RefusalReason::kShardsUnavailable, now),
+             FailureOutcome(state, RefusalReason::kShardsUnavailable, now), now,
              effects);
       return;
     }
   } else if (all_ended) {
     Finish(state, FailureOutcome(state, RefusalReason::kServersRefused, now),
-           effects);
+           now, effects);
     return;
   }
   SteadyTime next = state.answer_deadline;
@@ -240,7 +272,7 @@
   if (!attempt.sent) {
     if (AddAttempt(state, index, AttemptCause::kReroute,
                    ServerFilter::kHealthyServers, context, now, effects)) {
-      Remove(state, number);
+      TakeBackUnsent(state, Remove(state, number), now);
       effects.drop.push_back({number, /*close=*/false});
     }
     return;
@@ -268,7 +300,7 @@
   const Selection selection = SelectionOf(state);
   std::vector<std::pair<Duration, RequestPart*>> busy;
   for (RequestPart& it : state.parts) {
-    if (IsUnavailable(*it.pool, now)) {
+    if (IsUnavailable(*it.pool, state.route->rank, now)) {
       SkipPart(state, it);
       continue;
     }
@@ -347,13 +379,20 @@
   RequestEffects effects;
   if (now >= state.answer_deadline) {
     Finish(state, RefusedOutcome{RefusalReason::kNotInTime, kDefaultRetryAfter},
-           effects);
+           now, effects);
     return effects;
   }
   if (state.IsGathered()) {
     SkipShards(state, context, now);
+    if (state.parts.size() - state.parts_failed < state.min_parts) {
+      Finish(state,
+             FailureOutcome(state, RefusalReason::kShardsUnavailable, now), now,
+             effects);
+      return effects;
+    }
     if (const auto wait = OverloadRetryDelay(state, context, now)) {
-      Finish(state, RefusedOutcome{RefusalReason::kOverloaded, *wait}, effects);
+      Finish(state, RefusedOutcome{RefusalReason::kOverloaded, *wait}, now,
+             effects);
       return effects;
     }
   }
@@ -369,8 +408,9 @@
   }
   if (state.parts_failed == state.parts.size()) {
     Finish(state,
-           RefusedOutcome{RefusalReason::kNoServer, RetryDelay(state, now)},
-           effects);
+           RefusedOutcome{RefusalReasonOf(state, RefusalReason::kNoServer, now),
+                          RetryDelay(state, now)},
+           now, effects);
     return effects;
   }
   FinishOrSetTimer(state, context, now, effects);
@@ -414,13 +454,13 @@
     part.digest = std::move(reply.digest);
     part.body = std::move(reply.body);
     if (!state.IsGathered()) {
-      Finish(state, RelayedOutcome{number}, effects);
+      Finish(state, RelayedOutcome{number}, now, effects);
       return effects;
     }
     for (size_t i = state.attempts.size(); i-- > 0;) {
       if (state.attempts[i].part == attempt.part) {
         effects.drop.push_back({state.attempts[i].number, /*close=*/false});
-        Remove(state, state.attempts[i].number);
+        TakeBackUnsent(state, Remove(state, state.attempts[i].number), now);
       }
     }
   } else {
@@ -446,6 +486,7 @@
     return effects;
   }
   const RequestAttempt attempt = Remove(state, number);
+  TakeBackUnsent(state, attempt, now);
   if (attempt.sent) {
     state.connection_lost = true;
   }
@@ -463,10 +504,10 @@
   }
   if (now >= state.answer_deadline) {
     if (state.IsGathered() && state.parts_answered >= state.min_parts) {
-      Finish(state, MakeGatheredOutcome(state, /*settled_early=*/true),
+      Finish(state, MakeGatheredOutcome(state, /*settled_early=*/true), now,
              effects);
     } else {
-      Finish(state, FailureOutcome(state, RefusalReason::kNotInTime, now),
+      Finish(state, FailureOutcome(state, RefusalReason::kNotInTime, now), now,
              effects);
     }
     return effects;
@@ -485,13 +526,14 @@
   return effects;
 }
 
-RequestEffects OnCallerDisconnected(RequestState& state) {
+RequestEffects OnCallerDisconnected(RequestState& state, SteadyTime now) {
   RequestEffects effects;
   if (state.finished) {
     return effects;
   }
   state.finished = true;
   for (const RequestAttempt& it : state.attempts) {
+    TakeBackUnsent(state, it, now);
     effects.drop.push_back({it.number, /*close=*/state.route->idempotent});
   }
   state.attempts.clear();
--- a/tests/process/tier_cluster.cc
+++ b/tests/process/tier_cluster.cc
@@ -173,12 +173,18 @@
     size_t server,
     const std::shared_ptr<transport::Exchange>& exchange) {
   const std::string id = exchange->request()["X-Request-Id"].to_string();
+  std::optional<double> limit;
   {
     std::lock_guard lock(mutex_);
     if (exchange->request().method() == http::verb::post) {
       ++executions_[id];
     }
-    const ServerFault fault = faults_[server / kServersPerService];
+    const size_t service = server / kServersPerService;
+    if (request_limits_.contains(service)) {
+      limited_arrivals_[server].push_back(std::chrono::steady_clock::now());
+      limit = request_limits_.at(service);
+    }
+    const ServerFault fault = faults_[service];
     if (fault == ServerFault::kNoResponse) {
       unanswered_.push_back(exchange);
     }
@@ -190,6 +196,9 @@
   transport::Response response(http::status::ok, 11);
   response.set("X-Request-Id", id);
   response.set("X-Server-Stamp", "stamp-" + std::to_string(server));
+  if (limit) {
+    response.set("Server-Limit", std::to_string(*limit));
+  }
   response.body() = std::string(16, static_cast<char>('a' + server));
   exchange->Respond(std::move(response));
 }
@@ -199,6 +208,16 @@
   faults_[service] = fault;
 }
 
+void TierCluster::SetRequestLimit(size_t service, double per_second) {
+  std::lock_guard lock(mutex_);
+  request_limits_[service] = per_second;
+}
+
+std::vector<SteadyTime> TierCluster::LimitedArrivals(size_t service) {
+  std::lock_guard lock(mutex_);
+  return limited_arrivals_[service * kServersPerService];
+}
+
 std::string TierCluster::ExplainLastRequest() {
   const std::string output = folder_ + "/explain.txt";
   Process explain(
--- a/tests/process/tier_cluster.h
+++ b/tests/process/tier_cluster.h
@@ -77,6 +77,11 @@
   // requests.
   enum class ServerFault { kNone, kNoResponse, kCloseConnection };
   void SetFault(size_t service, ServerFault fault);
+  // From now on the servers of the service name this limit in their replies,
+  // and the times of their requests are recorded.
+  void SetRequestLimit(size_t service, double per_second);
+  // Returns when the first server of the service got each request since then.
+  std::vector<SteadyTime> LimitedArrivals(size_t service);
   // Returns the output of `gbrctl explain` for the last request of
   // SendRequest().
   std::string ExplainLastRequest();
@@ -101,6 +106,9 @@
   // Guarded by `mutex_`.
   std::map<std::string, int> executions_;
   std::map<size_t, ServerFault> faults_;
+  std::map<size_t, double> request_limits_;
+  // By server.
+  std::map<size_t, std::vector<SteadyTime>> limited_arrivals_;
   std::vector<std::shared_ptr<transport::Exchange>> unanswered_;
   std::vector<std::unique_ptr<transport::WebServer>> servers_;
   std::vector<std::unique_ptr<Process>> controls_;
--- a/tests/process/tier_test.cc
+++ b/tests/process/tier_test.cc
@@ -3,6 +3,7 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <csignal>
@@ -229,6 +230,39 @@
   EXPECT_TRUE(WaitForRoutesVersion(5 + kControlVms, seconds(5)));
 }
 
+// Guards against entry nodes that each use the whole of a limit which a server
+// names for all of them, and against callers who are not told why they are
+// refused.
+TEST_F(TierTest, RequestLimitIsDividedAmongEntryNodes) {
+  ASSERT_TRUE(cluster_.PutRoutes(5));
+  for (size_t i = 0; i < kEntryNodes; ++i) {
+    ASSERT_TRUE(cluster_.WaitForCompleteAnswer(i, seconds(10)));
+  }
+  // The service of the route /one/.
+  constexpr size_t kService = 3;
+  constexpr double kLimit = 8;
+  constexpr Duration kWindow = seconds(4);
+  cluster_.SetRequestLimit(kService, kLimit);
+  const auto start = std::chrono::steady_clock::now();
+  int refused = 0;
+  for (int n = 0; std::chrono::steady_clock::now() - start < 2 * kWindow; ++n) {
+    const auto reply = cluster_.SendRequest(n % 2, "POST", "/one/x");
+    if (reply && reply->result() == http::status::service_unavailable) {
+      EXPECT_NE((*reply)[http::field::retry_after], "");
+      ++refused;
+    }
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  EXPECT_GT(refused, 0);
+  const auto arrivals = cluster_.LimitedArrivals(kService);
+  const auto counted =
+      std::count_if(arrivals.begin(), arrivals.end(),
+                    [&](SteadyTime it) { return it >= start + kWindow; });
+  EXPECT_LE(static_cast<double>(counted), 1.5 * kLimit * 4 + 5);
+  EXPECT_GT(counted, 0);
+  EXPECT_GE(MetricValue(cluster_.EntryMetrics(0), "gbr_servers_limited"), 1);
+}
+
 // Guards against routes that are on a disk, but that no operator can bring back
 // into force once two of three disks are lost.
 TEST_F(TierTest, LostMajorityIsRecoveredByAnOperator) {
--- a/tests/relay/choose_server_test.cc
+++ b/tests/relay/choose_server_test.cc
@@ -64,12 +64,12 @@
   for (PoolServer& it : pool_.servers) {
     it.connection_share = 0;
   }
-  EXPECT_TRUE(IsUnavailable(pool_, kStart));
+  EXPECT_TRUE(IsUnavailable(pool_, Rank::kNormal, kStart));
   std::set<std::string> kept;
   for (uint64_t seed = 0; seed < 20; ++seed) {
     ServicePool pool = pool_;
     EnsureOneUsableServer(pool, seed);
-    EXPECT_FALSE(IsUnavailable(pool, kStart));
+    EXPECT_FALSE(IsUnavailable(pool, Rank::kNormal, kStart));
     for (const PoolServer& it : pool.servers) {
       if (it.AcceptsWork()) {
         kept.insert(it.id.value);
@@ -110,13 +110,13 @@
 
 // Guards against treating a shard as lost while one of its servers responds.
 TEST_F(ChooseServerTest, UnavailableOnlyWhenNoServerResponds) {
-  EXPECT_FALSE(IsUnavailable(pool_, kStart));
+  EXPECT_FALSE(IsUnavailable(pool_, Rank::kNormal, kStart));
   for (PoolServer& it : pool_.servers) {
     it.stats.consecutive_failures = 1;
     it.stats.next_probe = kStart + Ms(10);
   }
-  EXPECT_TRUE(IsUnavailable(pool_, kStart));
-  EXPECT_FALSE(IsUnavailable(pool_, kStart + Ms(10)));
+  EXPECT_TRUE(IsUnavailable(pool_, Rank::kNormal, kStart));
+  EXPECT_FALSE(IsUnavailable(pool_, Rank::kNormal, kStart + Ms(10)));
 }
 
 }  // namespace
--- a/tests/relay/relay_simulation.cc
+++ b/tests/relay/relay_simulation.cc
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -28,7 +29,7 @@
 constexpr Duration kPauseStep = std::chrono::milliseconds(5);
 
 struct Job {
-  std::function<void(uint32_t load)> reply;
+  std::function<void(uint32_t load, std::optional<double> limit)> reply;
 };
 
 struct Server {
@@ -105,6 +106,7 @@
         server.connection_share = 100;
         server.connections = 1;
         server.idle_connections = 1;
+        server.request_limit.share = 1.0 / static_cast<double>(nodes_.size());
       }
       nodes_[node].push_back(std::move(pool));
     }
@@ -183,10 +185,14 @@
                                  {policy_, random_}, now_));
     Server& server = servers_[std::stoul(attempt.server.value)];
     At(now_ + kDelay, [this, request, &server, number = attempt.number] {
-      server.waiting.push_back({[this, request, number](uint32_t load) {
-        At(now_ + kDelay,
-           [this, request, number, load] { Reply(request, number, load); });
-      }});
+      result_.arrivals[static_cast<size_t>(&server - servers_.data())]
+          .push_back(now_ - kStart);
+      server.waiting.push_back(
+          {[this, request, number](uint32_t load, std::optional<double> limit) {
+            At(now_ + kDelay, [this, request, number, load, limit] {
+              Reply(request, number, load, limit);
+            });
+          }});
       Serve(server);
     });
   }
@@ -196,6 +202,12 @@
            options_.paused(it.shard, it.index, now_ - kStart);
   }
 
+  std::optional<double> LimitOf(const Server& it) const {
+    const double limit =
+        options_.limit ? options_.limit(it.shard, it.index, now_ - kStart) : 0;
+    return limit > 0 ? std::optional(limit) : std::nullopt;
+  }
+
   void Serve(Server& server) {
     while (server.running < options_.slots && !server.waiting.empty()) {
       Job job = std::move(server.waiting.front());
@@ -218,13 +230,15 @@
       return;
     }
     --server.running;
-    job.reply(server.running + static_cast<uint32_t>(server.waiting.size()));
+    job.reply(server.running + static_cast<uint32_t>(server.waiting.size()),
+              LimitOf(server));
     Serve(server);
   }
 
   void Reply(const std::shared_ptr<Request>& request,
              AttemptNumber number,
-             uint32_t load) {
+             uint32_t load,
+             std::optional<double> limit) {
     const Request::Flight flight = request->flights.at(number);
     ServerStats& stats = FindServer(*flight.pool, flight.server)->stats;
     --stats.outstanding;
@@ -236,6 +250,8 @@
         TypicalTime(*flight.pool, policy_, route_.rank, route_.target_latency),
         now_);
     RecordLoad(stats, load, now_);
+    RecordLimit(FindServer(*flight.pool, flight.server)->request_limit, limit,
+                flight.sent_at, now_);
     RecordReplyTime(*flight.pool, policy_, route_.rank, now_ - flight.sent_at,
                     now_);
     if (request->state->finished) {
--- a/tests/relay/relay_simulation.h
+++ b/tests/relay/relay_simulation.h
@@ -6,6 +6,8 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
+#include <vector>
 
 #include "gooseberryrock/base/time.h"
 
@@ -26,6 +28,9 @@
   bool baseline = false;
   // Factor for a server's processing time at a given time.
   std::function<double(size_t shard, size_t server, Duration at)> slowness;
+  // The request rate that a server names in its replies at a given time; it
+  // takes more, but should not get more. 0 if it names none.
+  std::function<double(size_t shard, size_t server, Duration at)> limit;
   // Whether a server is paused at a given time; it resumes its requests
   // afterwards.
   std::function<bool(size_t shard, size_t server, Duration at)> paused;
@@ -41,6 +46,9 @@
   // Attempts beyond the first one of each shard of each request.
   size_t extra_attempts = 0;
   size_t attempts = 0;
+  // Number of attempts that a server received at the time since the start, by
+  // server.
+  std::map<size_t, std::vector<Duration>> arrivals;
 
   double Value() const { return value / static_cast<double>(requests); }
 };
--- a/tests/relay/request_machine_test.cc
+++ b/tests/relay/request_machine_test.cc
@@ -109,7 +109,7 @@
   for (const bool idempotent : {true, false}) {
     RelayFixture it(1);
     it.Send(it.Start(SingleRoute(idempotent)));
-    const auto gone = OnCallerDisconnected(it.state);
+    const auto gone = OnCallerDisconnected(it.state, kStart);
     ASSERT_EQ(gone.drop.size(), 1U);
     EXPECT_EQ(gone.drop[0].close, idempotent);
   }
@@ -316,5 +316,61 @@
   EXPECT_TRUE(start.send.empty());
 }
 
+void LimitAll(ServicePool& pool, double per_second, SteadyTime now = kStart) {
+  for (PoolServer& it : pool.servers) {
+    RecordLimit(it.request_limit, per_second, now, now);
+  }
+}
+
+// Guards against a request that waits for servers that accept no more, and
+// against callers that are not told when to come back.
+TEST(RequestMachineTest, RefusedAtOnceWhenAllServersAreLimited) {
+  RelayFixture it(1);
+  LimitAll(it.pools[0], 1);
+  const RequestEffects effects = it.Start(SingleRoute(true));
+  EXPECT_TRUE(effects.send.empty());
+  const auto* refused = std::get_if<RefusedOutcome>(&*effects.outcome);
+  ASSERT_NE(refused, nullptr);
+  EXPECT_EQ(refused->reason, RefusalReason::kServersLimited);
+  EXPECT_EQ(refused->retry_after, Ms(1000));
+}
+
+// Guards against a gathered request that uses up the limits of other shards
+// although it is refused for want of too many.
+TEST(RequestMachineTest, RefusedRequestUsesNoLimit) {
+  RelayFixture it(10);
+  LimitAll(it.pools[0], 1);
+  LimitAll(it.pools[1], 1);
+  LimitAll(it.pools[2], 10, kStart - Ms(1000));
+  const RequestEffects effects = it.Start(ShardedRoute());
+  EXPECT_TRUE(effects.send.empty());
+  ASSERT_TRUE(effects.outcome);
+  EXPECT_TRUE(std::holds_alternative<RefusedOutcome>(*effects.outcome));
+  for (const PoolServer& server : it.pools[2].servers) {
+    EXPECT_EQ(server.request_limit.tokens, 0) << "tokens were refilled or used";
+    EXPECT_TRUE(MaySend(server.request_limit, Rank::kUrgent, kStart));
+  }
+}
+
+// Guards against hedges beyond a limit, and against attempts that count
+// although they were given up while they waited for a connection.
+TEST(RequestMachineTest, HedgesKeepToLimitsAndUnsentAttemptsDoNotCount) {
+  RelayFixture it(1, 2);
+  RecordLimit(it.pools[0].servers[1].request_limit, 1, kStart, kStart);
+  RequestEffects effects = it.Start(SingleRoute(true));
+  it.Send(effects);
+  effects = OnRequestTimer(it.state, it.Context(), kStart + Ms(900));
+  EXPECT_TRUE(effects.send.empty());
+
+  RelayFixture other(1, 1);
+  RequestLimit& limit = other.pools[0].servers[0].request_limit;
+  RecordLimit(limit, 1, kStart - Ms(1000), kStart - Ms(1000));
+  effects = other.Start(SingleRoute(true));
+  ASSERT_EQ(effects.send.size(), 1U);
+  EXPECT_FALSE(MaySend(limit, Rank::kUrgent, kStart));
+  OnAttemptFailed(other.state, effects.send[0].number, other.Context(), kStart);
+  EXPECT_TRUE(MaySend(limit, Rank::kUrgent, kStart));
+}
+
 }  // namespace
 }  // namespace gooseberryrock::relay
