control, entry: one odd call no longer stops nodes from following servers

Report: another writer left an odd entry among those of the servers, and the processes that read the list stopped following it. It can happen here.

Cause: the id in the path of a withdrawal was not checked. The control VM stored a record under it, and each node that got the record refused the whole message: entry nodes log control_reply_refused error="id is missing or not a name" every 250 ms and learn of no server any more, for as long as the record is kept.

Ruled out: announcements; their ids, services, domains and ports are checked.

A node that gets a record which it cannot read leaves that one out, logs records_malformed and uses the others, so that a record which another release accepts has no wider effect.

Evidence: TierTest.OddCallsDoNotStopTheNodes sends three odd withdrawals and then a new server and new routes; on the code before, neither entry node knows the server after 3 s.

--- a/libs/control/src/directory_frames.cc
+++ b/libs/control/src/directory_frames.cc
@@ -2,10 +2,13 @@
 
 #include "gooseberryrock/control/directory_frames.h"
 
+#include <string>
+
 #include "gooseberryrock/directory/directory_exchange.h"
 #include "gooseberryrock/peer/frame.h"
 #include "gooseberryrock/proto/binary_codec.h"
 #include "gooseberryrock/proto/convert_directory.h"
+#include "gooseberryrock/telemetry/log_event.h"
 #include "peer.pb.h"
 
 namespace gooseberryrock::control {
@@ -28,6 +31,11 @@
     SteadyTime now) {
   const auto delta =
       proto::FromMessage(proto::Parse<proto::DirectoryDelta>(frame.body));
+  if (delta.malformed_records > 0) {
+    telemetry::LogEvent(telemetry::LogLevel::kError, "records_malformed",
+                        {{"from", frame.sender.value},
+                         {"records", std::to_string(delta.malformed_records)}});
+  }
   auto changed = directory::MergeDelta(directory, delta, frame.sender, now);
   if (auto pull = directory::OnChangeSpan(
           exchange, frame.sender, frame.incarnation, delta.from, delta.to)) {
--- a/libs/directory/include/gooseberryrock/directory/directory_exchange.h
+++ b/libs/directory/include/gooseberryrock/directory/directory_exchange.h
@@ -44,6 +44,8 @@
   uint64_t from = 0;
   uint64_t to = 0;
   std::vector<ServerRecord> records;
+  // Number of received records that could not be read and are left out.
+  size_t malformed_records = 0;
 };
 
 // The first digest contains only the root; each answer adds one level.
--- a/libs/entry/src/control_poller.cc
+++ b/libs/entry/src/control_poller.cc
@@ -230,12 +230,22 @@
     }
   }
 
+  static std::vector<directory::ServerRecord> ReadRecords(
+      const NodeId& control_vm,
+      const google::protobuf::RepeatedPtrField<proto::ServerRecord>& messages) {
+    proto::ReadableRecords readable = proto::ReadRecords(messages);
+    if (readable.malformed > 0) {
+      telemetry::LogEvent(LogLevel::kError, "records_malformed",
+                          {{"from", control_vm.value},
+                           {"records", std::to_string(readable.malformed)}});
+    }
+    return std::move(readable.records);
+  }
+
   void OnReply(const peer::PeerFrame& frame,
                const proto::EntryPollReply& reply) {
-    std::vector<directory::ServerRecord> records;
-    for (const proto::ServerRecord& it : reply.records()) {
-      records.push_back(proto::FromMessage(it));
-    }
+    const std::vector<directory::ServerRecord> records =
+        ReadRecords(frame.sender, reply.records());
     std::vector<NodeId> others;
     for (const std::string& it : reply.control_vms()) {
       others.push_back({it});
@@ -285,12 +295,9 @@
                 const proto::EntryPollReply& reply,
                 SteadyTime now,
                 std::vector<ServerChange>& changes) {
-    std::vector<directory::ServerRecord> records;
-    for (const proto::ServerRecord& it : reply.remembered()) {
-      records.push_back(proto::FromMessage(it));
-    }
     const auto remembered = AddRememberedServers(
-        known_servers, records, now + settings.remembered_server_lifetime);
+        known_servers, ReadRecords(control_vm, reply.remembered()),
+        now + settings.remembered_server_lifetime);
     if (!remembered.empty()) {
       telemetry::LogEvent(LogLevel::kInfo, "servers_remembered",
                           {{"control_vm", control_vm.value},
--- a/libs/proto/src/convert_directory.cc
+++ b/libs/proto/src/convert_directory.cc
@@ -3,6 +3,7 @@
 #include "gooseberryrock/proto/convert_directory.h"
 
 #include <string>
+#include <utility>
 
 #include "backend.pb.h"
 #include "gooseberryrock/catalog/validate.h"
@@ -60,6 +61,20 @@
   return record;
 }
 
+ReadableRecords ReadRecords(
+    const google::protobuf::RepeatedPtrField<ServerRecord>& messages) {
+  ReadableRecords readable;
+  readable.records.reserve(static_cast<size_t>(messages.size()));
+  for (const ServerRecord& it : messages) {
+    try {
+      readable.records.push_back(FromMessage(it));
+    } catch (const MalformedMessageError&) {
+      ++readable.malformed;
+    }
+  }
+  return readable;
+}
+
 DirectoryDelta ToMessage(const directory::DirectoryDelta& delta) {
   DirectoryDelta message;
   message.set_from(delta.from);
@@ -74,12 +89,9 @@
   if (message.from() > message.to()) {
     throw MalformedMessageError("directory delta ends before it starts");
   }
-  directory::DirectoryDelta delta{message.from(), message.to(), {}};
-  delta.records.reserve(message.records_size());
-  for (const ServerRecord& record : message.records()) {
-    delta.records.push_back(FromMessage(record));
-  }
-  return delta;
+  ReadableRecords readable = ReadRecords(message.records());
+  return {message.from(), message.to(), std::move(readable.records),
+          readable.malformed};
 }
 
 DirectoryDigest ToMessage(const directory::DirectoryDigest& digest) {
--- a/tests/platform/control_codec_test.cc
+++ b/tests/platform/control_codec_test.cc
@@ -78,6 +78,21 @@
   }
 }
 
+// Guards against an id that is stored and that no other VM accepts: each delta
+// that holds it is refused as a whole.
+TEST(ControlCodecTest, RejectsMalformedIds) {
+  for (const std::string& id :
+       {std::string(), std::string("a%2F"), std::string("a b"),
+        std::string("\xff\xfe"), std::string(300, 'a')}) {
+    for (const char* call : {"/heartbeat", "/deregister"}) {
+      const auto decoded = DecodeCall(http::verb::post,
+                                      "/v1/instances/" + id + call, kHeartbeat);
+      EXPECT_TRUE(std::holds_alternative<control::MalformedCall>(decoded))
+          << id << call;
+    }
+  }
+}
+
 TEST(ControlCodecTest, ReadsOtherCalls) {
   const auto withdraw = DecodeCall(
       http::verb::post, "/v1/instances/i-1/deregister", R"({"born":5})");
--- a/tests/process/tier_test.cc
+++ b/tests/process/tier_test.cc
@@ -230,6 +230,41 @@
   EXPECT_TRUE(WaitForRoutesVersion(5 + kControlVms, seconds(5)));
 }
 
+// Guards against a call of another writer after which no node follows the
+// directory or the routes any more, because each refuses what it is sent.
+TEST_F(TierTest, OddCallsDoNotStopTheNodes) {
+  ASSERT_TRUE(cluster_.PutRoutes(5));
+  ASSERT_TRUE(cluster_.WaitForCompleteAnswer(0, seconds(10)));
+  const std::string odd_ids[] = {"a%2Fb", "x:y", std::string(200, 'z')};
+  for (const std::string& id : odd_ids) {
+    for (size_t i = 0; i < kControlVms; ++i) {
+      cluster_.CallControl(i, "POST", "/v1/instances/" + id + "/deregister");
+    }
+  }
+  ASSERT_TRUE(cluster_.PutRoutes(6));
+  cluster_.CallControl(
+      0, "POST", "/v1/instances/server-new/heartbeat",
+      R"({"service":"s0","address":"127.0.0.1:1","zone":"a","state":"ready",)"
+      R"("concurrency_limit":1,"sequence":1,"born":1000})");
+  const auto end = std::chrono::steady_clock::now() + seconds(3);
+  const auto in_force = [this](size_t i) {
+    const std::string metrics = cluster_.EntryMetrics(i);
+    return MetricValue(metrics, "gbr_routes_version") == 6 &&
+           MetricValue(metrics, "gbr_servers_ready") == 9;
+  };
+  while (!(in_force(0) && in_force(1)) &&
+         std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(milliseconds(50));
+  }
+  for (size_t i = 0; i < kEntryNodes; ++i) {
+    EXPECT_TRUE(in_force(i)) << "entry node " << i;
+    EXPECT_TRUE(cluster_.Entry(i).running());
+  }
+  for (size_t i = 0; i < kControlVms; ++i) {
+    EXPECT_TRUE(cluster_.Control(i).running()) << "control VM " << i;
+  }
+}
+
 // Guards against entry nodes that each use the whole of a limit which a server
 // names for all of them, and against callers who are not told why they are
 // refused.
