--- a/tests/settings/tier_settings_test.cc
+++ b/tests/settings/tier_settings_test.cc
@@ -48,11 +48,13 @@
 TEST_F(TierSettingsTest, IntervalsMeetTheBounds) {
   for (const int ms : {500, 1000, 4000, 60'000}) {
     const Duration bound = std::chrono::milliseconds(ms);
-    const std::string value = std::to_string(ms);
-    const TierIntervals intervals =
-        MakeTierIntervals(Load(", \"contact_time_ms\": " + value +
-                               ", \"route_change_time_ms\": " + value +
-                               ", \"server_drain_time_ms\": " + value));
+    std::string fields;
+    for (const char* key :
+         {"contact_time_ms", "route_change_time_ms", "server_drain_time_ms"}) {
+      fields.append(", \"").append(key).append("\": ");
+      fields.append(std::to_string(ms));
+    }
+    const TierIntervals intervals = MakeTierIntervals(Load(fields));
     EXPECT_LT(intervals.remembered_servers_time +
                   intervals.remembered_server_lifetime,
               bound);
