--- a/tests/platform/control_codec_test.cc
+++ b/tests/platform/control_codec_test.cc
@@ -78,6 +78,57 @@
   }
 }
 
+// Guards against a number that another writer left and that is read as another
+// one: an incarnation that no later start of the server exceeds, or a version
+// that no later configuration exceeds.
+TEST(ControlCodecTest, RejectsNumbersOutOfRange) {
+  const auto replaced = [](std::string text, const std::string& from,
+                           const std::string& to) {
+    return text.replace(text.find(from), from.size(), to);
+  };
+  const std::string odd[] = {"-1",   "1.5",  "1e300", "18446744073709551616",
+                             "1e17", "true", "null",  "[1]"};
+  for (const std::string& it : odd) {
+    for (const char* field :
+         {R"("born":1700000000000)", R"("concurrency_limit":2)"}) {
+      const std::string name(field, std::string(field).find(':') + 1);
+      const auto call =
+          DecodeCall(http::verb::post, "/v1/instances/i-1/heartbeat",
+                     replaced(kHeartbeat, field, name + it));
+      EXPECT_TRUE(std::holds_alternative<control::MalformedCall>(call))
+          << name << it;
+    }
+    EXPECT_TRUE(std::holds_alternative<control::MalformedCall>(
+        DecodeCall(http::verb::post, "/v1/instances/i-1/deregister",
+                   "{\"born\":" + it + "}")))
+        << it;
+    EXPECT_TRUE(std::holds_alternative<control::MalformedCall>(
+        DecodeCall(http::verb::post, "/v1/config/replace",
+                   replaced(kConfig, "\"version\":7", "\"version\":" + it))))
+        << it;
+    for (const char* field :
+         {R"("timeout_ms":500)", R"("target_latency_ms":50)", R"("priority":0)",
+          R"("attempts":2)", R"("top_k":5)", R"("weight":3)",
+          R"("max_connections":26)", R"("max_header_bytes":16384)",
+          R"("idle_timeout_ms":15000)"}) {
+      const std::string name(field, std::string(field).find(':') + 1);
+      EXPECT_THROW(
+          GetControlCodec().parse_routes(replaced(kConfig, field, name + it)),
+          routes::RouteError)
+          << name << it;
+    }
+  }
+  for (const char* port : {"80x", "", "0", "65536", "4294967376", "-80"}) {
+    EXPECT_TRUE(std::holds_alternative<control::MalformedCall>(
+        DecodeCall(http::verb::post, "/v1/instances/i-1/heartbeat",
+                   replaced(kHeartbeat, "8080", port))))
+        << port;
+  }
+  EXPECT_TRUE(std::holds_alternative<control::AnnounceCall>(
+      DecodeCall(http::verb::post, "/v1/instances/i-1/heartbeat",
+                 replaced(kHeartbeat, ":2,", ":2.0,"))));
+}
+
 // Guards against an id that is stored and that no other VM accepts: each delta
 // that holds it is refused as a whole.
 TEST(ControlCodecTest, RejectsMalformedIds) {
