platform: refuse messages that are nested too deeply

Report: another writer left a very deeply nested entry, and processes ended again and again. It can happen here.

Cause: the JSON library keeps each level as a value of its own. A million levels in a call of 2 MB take 72 MB; the 4 MiB that a call may have take more than the 256 MB of a control VM, which ends the process.

Ruled out: the depth of the stack; parsing and destruction don't recurse.

TierTest.OddCallsDoNotStopTheNodes sends such a call too.

--- a/tests/platform/control_codec_test.cc
+++ b/tests/platform/control_codec_test.cc
@@ -144,6 +144,21 @@
   }
 }
 
+// Guards against nesting that takes more memory than the VM has: 4 MiB of
+// brackets become hundreds of megabytes of values.
+TEST(ControlCodecTest, RejectsDeepNesting) {
+  const std::string deep(1'000'000, '[');
+  std::string heartbeat = kHeartbeat;
+  heartbeat.insert(1, "\"x\":" + deep + std::string(deep.size(), ']') + ",");
+  std::string config = kConfig;
+  config.insert(1, "\"x\":" + deep + std::string(deep.size(), ']') + ",");
+  EXPECT_TRUE(std::holds_alternative<control::MalformedCall>(
+      DecodeCall(http::verb::post, "/v1/instances/i-1/heartbeat", heartbeat)));
+  EXPECT_TRUE(std::holds_alternative<control::MalformedCall>(
+      DecodeCall(http::verb::post, "/v1/config/replace", config)));
+  EXPECT_THROW(GetControlCodec().parse_routes(config), routes::RouteError);
+}
+
 TEST(ControlCodecTest, ReadsOtherCalls) {
   const auto withdraw = DecodeCall(
       http::verb::post, "/v1/instances/i-1/deregister", R"({"born":5})");
--- a/tests/process/tier_test.cc
+++ b/tests/process/tier_test.cc
@@ -241,6 +241,8 @@
       cluster_.CallControl(i, "POST", "/v1/instances/" + id + "/deregister");
     }
   }
+  cluster_.CallControl(0, "POST", "/v1/instances/server-0/heartbeat",
+                       "{\"x\":" + std::string(1'000'000, '[') + "}");
   ASSERT_TRUE(cluster_.PutRoutes(6));
   cluster_.CallControl(
       0, "POST", "/v1/instances/server-new/heartbeat",
