transport: bound the framing of chunked bodies

Report: bytes that are no answer may come without end, in a head or a body, until the caller closes. It can happen here in one place.

Cause: the parser reads the size line, its extension and the trailer of a chunked body as a whole, and the buffer had no limit. Only the data of chunks counts towards the limit of the body, so that 32 MB of such bytes were read and kept until the attempt timed out; entry VMs have 260 MB.

Ruled out: heads (limit of 8 KB for replies, and the operator's for requests), bodies with a length, without one, or of chunks (limit of the body), and bytes before the status line; these are refused already, also without end.

Conclusion: memory for a message is bounded, however it is framed.

--- a/libs/transport/src/server_connection.cc
+++ b/libs/transport/src/server_connection.cc
@@ -22,6 +22,11 @@
 
 namespace {
 
+// The buffer holds what is parsed as a whole: the header, and between the parts
+// of a chunked body the size line or the trailer. A peer that never ends one
+// would otherwise fill the memory until the attempt times out.
+constexpr size_t kMaxBufferedBytes = size_t{128} << 10U;
+
 ReplyStatus StatusOf(const ErrorCode& ec, size_t body, size_t max_body) {
   if (!ec) {
     // Beast 1.74 accepts a response whose Content-Length exceeds the limit if
@@ -38,7 +43,7 @@
 
 struct ServerConnection::Impl {
   explicit Impl(asio::io_context& context)
-      : socket(context), connect_timer(context) {}
+      : socket(context), connect_timer(context), buffer(kMaxBufferedBytes) {}
 
   asio::ip::tcp::socket socket;
   asio::steady_timer connect_timer;
--- a/tests/transport/server_connection_test.cc
+++ b/tests/transport/server_connection_test.cc
@@ -2,10 +2,14 @@
 
 #include <gtest/gtest.h>
 
+#include <sys/socket.h>
+
+#include <atomic>
 #include <chrono>
 #include <future>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "gooseberryrock/transport/endpoint.h"
 #include "gooseberryrock/transport/io_thread.h"
@@ -20,6 +24,8 @@
 using std::chrono::seconds;
 
 constexpr size_t kMaxBody = 10000;
+// More than the socket buffers of both ends hold.
+constexpr size_t kMaxSent = size_t{32} << 20U;
 
 class ServerConnectionTest : public testing::Test {
  protected:
@@ -70,6 +76,90 @@
   }
 }
 
+// Guards against a reply that is cut anywhere, in the middle of its header too,
+// and that a caller would get with an empty or short body as if it were whole.
+TEST_F(ServerConnectionTest, RepliesCutAtAnyByteAreNotComplete) {
+  const std::string header = "HTTP/1.1 200 OK\r\nX-Stamp: s\r\n";
+  for (const std::string& text :
+       {header + "Content-Length: 12\r\n\r\nabcdefghijkl",
+        header + "Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\n\r\n",
+        // Without a length only the header shows whether the reply is whole.
+        header + "Server: x\r\n\r\n"}) {
+    for (size_t n = 0; n < text.size(); ++n) {
+      RawServer server([&](RawSocket& socket, size_t) {
+        socket.ReadUntil("\r\n\r\n", seconds(1));
+        socket.Send(text.substr(0, n));
+      });
+      EXPECT_NE(Call(server).status, ReplyStatus::kComplete)
+          << text.substr(0, n);
+    }
+  }
+}
+
+// Guards against a reply without a length that is taken as whole although its
+// connection was reset.
+TEST_F(ServerConnectionTest, ResetReplyWithoutLengthIsLost) {
+  RawServer server([](RawSocket& socket, size_t) {
+    socket.ReadUntil("\r\n\r\n", seconds(1));
+    socket.Send("HTTP/1.1 200 OK\r\n\r\nabc");
+    socket.ReadUntil("never", std::chrono::milliseconds(50));
+    // Dissolving the association resets the connection.
+    sockaddr none = {};
+    none.sa_family = AF_UNSPEC;
+    ::connect(socket.fd(), &none, sizeof(none));
+  });
+  EXPECT_EQ(Call(server).status, ReplyStatus::kConnectionLost);
+}
+
+// Guards against bytes without end that are no reply: they would be read, and
+// kept in memory, until the caller closes the connection.
+TEST_F(ServerConnectionTest, EndlessRepliesAreRefused) {
+  struct Case {
+    std::string start;
+    std::string repeated;
+  };
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string bytes(4096, 'a');
+  for (const Case& it :
+       std::vector<Case>{{"", bytes},
+                         {"HTTP/1.1 200 ", bytes},
+                         {"", "\r\n"},
+                         {"", ok.substr(0, 8)},
+                         {ok + "X: ", bytes},
+                         {ok, "X: y\r\n"},
+                         {ok + "Content-Length: 1000000000000\r\n\r\n", bytes},
+                         {ok + "\r\n", bytes},
+                         {chunked, "5\r\nabcde\r\n"},
+                         {chunked + "ffffffffff\r\n", bytes},
+                         {chunked, std::string(4096, '0')},
+                         {chunked + "5;x=", bytes},
+                         {chunked + "0\r\n", "X: y\r\n"},
+                         {chunked + "0\r\nX: ", bytes}}) {
+    std::atomic<size_t> sent = 0;
+    std::string block;
+    while (block.size() < 4096) {
+      block += it.repeated;
+    }
+    {
+      RawServer server([&](RawSocket& socket, size_t) {
+        socket.ReadUntil("\r\n\r\n", seconds(1));
+        if (socket.Send(it.start)) {
+          while (sent < kMaxSent && socket.Send(block)) {
+            sent += block.size();
+          }
+        }
+        socket.ReadUntil("never", seconds(1));
+      });
+      const Reply reply = Call(server);
+      EXPECT_EQ(reply.status, ReplyStatus::kMalformed)
+          << it.start << " / " << it.repeated.substr(0, 30);
+      thread_.Post([this] { connection_->Close(); });
+    }
+    EXPECT_LT(sent, kMaxSent) << it.start << it.repeated.substr(0, 30);
+  }
+}
+
 // Guards against rejecting complete replies.
 TEST_F(ServerConnectionTest, CompleteRepliesAreRead) {
   const Reply length =
--- a/tests/transport/web_server_test.cc
+++ b/tests/transport/web_server_test.cc
@@ -125,6 +125,25 @@
 
 // Guards against a caller that holds a connection open with an incomplete
 // header.
+// Guards against a body whose framing never ends and that fills the memory:
+// only the data of a chunk counts towards the limit of the body.
+TEST_F(WebServerTest, EndlessChunkFramingIsRefused) {
+  constexpr size_t kMaxSent = size_t{32} << 20U;
+  const std::string block(4096, '0');
+  for (const char* start : {"", "5;x=", "0\r\nX: "}) {
+    RawSocket socket(Connect(server_->port()));
+    socket.Send(
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+    socket.Send(start);
+    size_t sent = 0;
+    while (sent < kMaxSent && socket.Send(block)) {
+      sent += block.size();
+    }
+    EXPECT_LT(sent, kMaxSent) << start;
+  }
+  EXPECT_FALSE(WaitForRequests(1));
+}
+
 TEST_F(WebServerTest, SlowHeaderTimesOut) {
   RawSocket socket(Connect(server_->port()));
   socket.Send("GET / HTTP/1.1\r\nHost: a");
