transport: skip interim replies of backend servers

Cause: a reply with a status of 1xx was taken as the reply to the request. It would go to the caller as it is, and the final reply be dropped as bytes after it, or belong to the next request if it came late enough. Found while the replies without end were looked at.

Change: interim replies are skipped, up to eight; more of them, and a change of the protocol, that no request asks for, are malformed.

Evidence: ServerConnectionTest.InterimRepliesAreSkipped fails on the code before (status 100 instead of 200) and passes.

Conclusion: only a final reply ends an attempt.

--- a/libs/transport/include/gooseberryrock/transport/server_connection.h
+++ b/libs/transport/include/gooseberryrock/transport/server_connection.h
@@ -54,8 +54,9 @@
                Duration timeout,
                ConnectHandler handler);
 
-  // Sends `request` and calls `handler` once with the reply. Replies larger
-  // than `max_body` are treated as malformed.
+  // Sends `request` and calls `handler` once with the final reply. Replies
+  // larger than `max_body` are treated as malformed, and so are too many
+  // interim ones.
   void Send(Request request, size_t max_body, ReplyHandler handler);
 
   // Reads the next reply after one that belongs to another request.
@@ -70,6 +71,9 @@
 
  private:
   struct Impl;
+  void Read();
+  void OnRead(ReplyStatus status);
+
   std::unique_ptr<Impl> impl_;
 };
 
--- a/libs/transport/src/server_connection.cc
+++ b/libs/transport/src/server_connection.cc
@@ -27,6 +27,14 @@
 // would otherwise fill the memory until the attempt times out.
 constexpr size_t kMaxBufferedBytes = size_t{128} << 10U;
 
+// Interim replies that are skipped before the final one.
+constexpr int kMaxInterimReplies = 8;
+
+bool IsInterim(const Response& response) {
+  return http::to_status_class(response.result_int()) ==
+         http::status_class::informational;
+}
+
 ReplyStatus StatusOf(const ErrorCode& ec, size_t body, size_t max_body) {
   if (!ec) {
     // Beast 1.74 accepts a response whose Content-Length exceeds the limit if
@@ -52,6 +60,8 @@
   bool writing = false;
   std::optional<http::response_parser<http::string_body>> parser;
   size_t max_body = 0;
+  // Interim replies before the current one.
+  int interim_replies = 0;
   ReplyHandler on_reply;
   // Incremented by each Send(), to ignore the result of an earlier WatchIdle().
   uint64_t send_count = 0;
@@ -113,34 +123,50 @@
 }
 
 void ServerConnection::ReadNextReply(size_t max_body, ReplyHandler handler) {
+  impl_->on_reply = std::move(handler);
+  impl_->max_body = max_body;
+  impl_->interim_replies = 0;
+  Read();
+}
+
+void ServerConnection::Read() {
   Impl& impl = *impl_;
-  impl.on_reply = std::move(handler);
-  impl.max_body = max_body;
   impl.parser.emplace();
-  impl.parser->body_limit(max_body);
+  impl.parser->body_limit(impl.max_body);
   if (impl.request.method() == http::verb::head) {
     impl.parser->skip(true);
   }
-  auto self = shared_from_this();
-  http::async_read(impl.socket, impl.buffer, *impl.parser,
-                   [self](const ErrorCode& ec, size_t) {
-                     Impl& it = *self->impl_;
-                     if (it.closed) {
-                       return;
-                     }
-                     Reply reply;
-                     reply.status = StatusOf(ec, it.parser->get().body().size(),
-                                             it.max_body);
-                     if (reply.status == ReplyStatus::kComplete) {
-                       // Bytes after the reply, or a request body that the peer
-                       // has not read completely, would be mistaken for part of
-                       // the next exchange.
-                       reply.reusable = it.parser->keep_alive() &&
-                                        !it.writing && it.buffer.size() == 0;
-                       reply.response = it.parser->release();
-                     }
-                     std::exchange(it.on_reply, nullptr)(std::move(reply));
-                   });
+  http::async_read(
+      impl.socket, impl.buffer, *impl.parser,
+      [self = shared_from_this()](const ErrorCode& ec, size_t) {
+        if (!self->impl_->closed) {
+          self->OnRead(StatusOf(ec, self->impl_->parser->get().body().size(),
+                                self->impl_->max_body));
+        }
+      });
+}
+
+void ServerConnection::OnRead(ReplyStatus status) {
+  Impl& impl = *impl_;
+  Reply reply;
+  reply.status = status;
+  if (status == ReplyStatus::kComplete && IsInterim(impl.parser->get())) {
+    // No request asks for another protocol.
+    if (impl.parser->get().result() != http::status::switching_protocols &&
+        ++impl.interim_replies <= kMaxInterimReplies) {
+      Read();
+      return;
+    }
+    reply.status = ReplyStatus::kMalformed;
+  }
+  if (reply.status == ReplyStatus::kComplete) {
+    // Bytes after the reply, or a request body that the peer has not read
+    // completely, would be mistaken for part of the next exchange.
+    reply.reusable =
+        impl.parser->keep_alive() && !impl.writing && impl.buffer.size() == 0;
+    reply.response = impl.parser->release();
+  }
+  std::exchange(impl.on_reply, nullptr)(std::move(reply));
 }
 
 void ServerConnection::WatchIdle(std::function<void()> handler) {
--- a/tests/transport/server_connection_test.cc
+++ b/tests/transport/server_connection_test.cc
@@ -160,6 +160,29 @@
   }
 }
 
+// Guards against an interim reply that is taken as the reply, and against
+// interim replies without end.
+TEST_F(ServerConnectionTest, InterimRepliesAreSkipped) {
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  const Reply reply =
+      CallServerThatSends(interim + "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n" +
+                          "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcde");
+  EXPECT_EQ(reply.status, ReplyStatus::kComplete);
+  EXPECT_EQ(reply.response.result_int(), 200U);
+  EXPECT_EQ(reply.response.body(), "abcde");
+  EXPECT_TRUE(reply.reusable);
+  std::string endless;
+  for (int n = 0; n < 100; ++n) {
+    endless += interim;
+  }
+  EXPECT_EQ(CallServerThatSends(endless).status, ReplyStatus::kMalformed);
+  EXPECT_EQ(CallServerThatSends(interim).status, ReplyStatus::kConnectionLost);
+  // The request asks for no other protocol.
+  EXPECT_EQ(
+      CallServerThatSends("HTTP/1.1 101 Switching Protocols\r\n\r\n").status,
+      ReplyStatus::kMalformed);
+}
+
 // Guards against rejecting complete replies.
 TEST_F(ServerConnectionTest, CompleteRepliesAreRead) {
   const Reply length =
