http: bound the body of a backend server's reply

Change: beyond 8 MiB, as on the platform's path, the call counts as lost and the connection is closed.

Conclusion: bodies are bounded on both interfaces; headers on the platform's.

--- a/libs/http/src/backend_connection.cc
+++ b/libs/http/src/backend_connection.cc
@@ -12,6 +12,9 @@
 
 namespace {
 
+// Larger replies are not read to their end.
+constexpr size_t kMaxReplyBytes = size_t{8} << 20U;
+
 // cxxtools reports a failed connect only by a message with this prefix.
 constexpr std::string_view kConnectFailure = "while trying to connect";
 
@@ -83,6 +86,17 @@
   }
   std::string buf(static_cast<size_t>(n), '\0');
   in.read(buf.data(), n);
+  if (finished_) {
+    return buf.size();
+  }
+  if (result_.body.size() + buf.size() > kMaxReplyBytes) {
+    // The channel closes the connection.
+    result_.body.clear();
+    result_.kind = BackendResultKind::kLost;
+    reusable_ = false;
+    finished_ = true;
+    return buf.size();
+  }
   result_.body += buf;
   return buf.size();
 }
