tests: a reply cut at any byte on the product's own interface

Cause: a report from other operators: a server stopped in the middle of its head, and clients got a 200 with an empty body.

Ruled out: that it can happen here.

Conclusion: such a reply counts as lost, and its request is tried again or fails.

--- a/tests/http/backend_fault_test.cc
+++ b/tests/http/backend_fault_test.cc
@@ -76,6 +76,24 @@
   }
 };
 
+// A reply that is cut, in its header too, must not count as a reply with an
+// empty or short body.
+TEST(BackendFaultTest, ReplyCutAtAnyByteIsLost) {
+  const std::string text =
+      "HTTP/1.1 200 OK\r\nServer: x\r\nContent-Length: 5\r\n\r\nabcde";
+  for (size_t n = 0; n < text.size(); ++n) {
+    RawServer server([&](RawSocket& socket, size_t) {
+      if (!ReadCall(socket).empty()) {
+        socket.Send(text.substr(0, n));
+      }
+    });
+    OneServerChannel channel(server.port());
+    EXPECT_EQ(channel.Call(/*at_most_once=*/true).kind,
+              BackendResultKind::kLost)
+        << text.substr(0, n);
+  }
+}
+
 // A resend by the HTTP client must be reported; otherwise the executions at the
 // servers would not match the attempts.
 TEST(BackendFaultTest, ReportsResendOnReusedConnection) {
