relay, entry: leave servers alone that leave or want to rest

Cause: a server that leaves says so in all its replies, and one that refuses a request with 503 may say for how long it wants none. No entry node read either.

Ruled out: treating a rest like a failure; a resting server is sound, and its rest has a stated end. Lifting "leaving" by a later announcement: announcements may be late or come from before.

Change: the pool holds for each server since when it leaves and until when it rests. Candidates for first attempts, hedges, retries and probes, and connections opened in advance keep to both; attempts that wait for a connection to the server go elsewhere. What a server says in its replies goes before its announcements within an incarnation; a new incarnation starts afresh, and a notice of an earlier one is dropped. The I/O shards of a node pass notices on to each other. A rest of more than 5 minutes has to be said again, so that one wrong reply cannot take a server out for hours; "leaving" lasts, since the rule demands it. Statements that cannot be read change nothing and are counted, with those of the request limits. After its rest a server gets one request at a time until it replies. When all servers of a service rest, the request is refused at once with the end of the first rest, spread over half as much again.

Evidence: relay_load_test, in virtual time: RestingShardIsLeftAlone (0.2, 2 and 20 s), RenewedRestsAreNoRush and LeavingServersGetNoMoreRequests fail when replies are not recorded (up to 461 requests of one node in a rest, allowed 2) and pass. TierTest.LeavingAndRestingServersAreLeftAlone sends both through the real transport.

--- a/apps/ctl/explain_command.cc
+++ b/apps/ctl/explain_command.cc
@@ -56,6 +56,8 @@
      "refused, not run: each server that was asked refused it"},
     {"request_refused", "servers_limited",
      "refused, not run: the servers accept fewer requests per second"},
+    {"request_refused", "servers_resting",
+     "refused, not run: the servers want no requests for some time"},
     {"request_refused", "not_in_time",
      "refused, not run: its time was over before a server was reached"},
     {"request_failed", "timeout",
@@ -77,7 +79,8 @@
     "server_replaced",     "server_announced",      "server_withdrawn",
     "servers_remembered",  "control_lost",          "control_followed",
     "routes_in_force",     "leadership_changed",    "server_limited",
-    "server_limit_lifted", "voters_changed"};
+    "server_limit_lifted", "voters_changed",        "server_leaving",
+    "server_resting",      "server_awake"};
 
 std::string_view RequestId(const LogLine& line) {
   const std::string_view request = line.Field("request");
--- a/libs/entry/src/connection_pool.cc
+++ b/libs/entry/src/connection_pool.cc
@@ -167,6 +167,10 @@
   }
 }
 
+void ConnectionPool::CancelAllWaits(relay::PoolServer& server) {
+  FailWaiting(ConnectionsOf(server), &server);
+}
+
 void ConnectionPool::Release(relay::ServicePool& pool,
                              const BackendServerId& server,
                              const ConnectionPtr& connection,
--- a/libs/entry/src/connection_pool.h
+++ b/libs/entry/src/connection_pool.h
@@ -62,6 +62,9 @@
                   const BackendServerId& server,
                   AttemptKey key);
 
+  // Fails all attempts that wait for a connection to the server.
+  void CancelAllWaits(relay::PoolServer& server);
+
   // Returns a connection to the pool after a reply.
   void Release(relay::ServicePool& pool,
                const BackendServerId& server,
--- a/libs/entry/src/entry_node.cc
+++ b/libs/entry/src/entry_node.cc
@@ -62,8 +62,9 @@
     for (unsigned i = 0; i < n; ++i) {
       threads.push_back(std::make_unique<transport::IoThread>());
       all.push_back(threads.back().get());
-      shards.push_back(std::make_unique<EntryShard>(*threads.back(), codec,
-                                                    policy, n, metrics));
+      shards.push_back(std::make_unique<EntryShard>(
+          *threads.back(), codec, policy, n,
+          [this, i](const ServerNotice& it) { PassOn(it, i); }, metrics));
       shards.back()->SetConnectionPlan({{}, {settings.failure_domain, 0}});
     }
     callers.emplace(
@@ -93,8 +94,11 @@
       total.requests_in_flight += counts.requests_in_flight;
       // Every shard knows all servers.
       total.servers_ready = counts.servers_ready;
+      // Each shard learns of limits by itself.
       total.servers_limited =
           std::max(total.servers_limited, counts.servers_limited);
+      total.servers_resting = counts.servers_resting;
+      total.servers_leaving = counts.servers_leaving;
     }
     SetGauge(metrics, Gauge::kQueriesInFlight,
              static_cast<double>(total.requests_in_flight));
@@ -102,6 +106,10 @@
              static_cast<double>(total.servers_ready));
     SetGauge(metrics, Gauge::kServersLimited,
              static_cast<double>(total.servers_limited));
+    SetGauge(metrics, Gauge::kServersResting,
+             static_cast<double>(total.servers_resting));
+    SetGauge(metrics, Gauge::kServersLeaving,
+             static_cast<double>(total.servers_leaving));
     const ControlPollerStatus status = control->Status();
     SetGauge(metrics, Gauge::kRoutesVersion,
              static_cast<double>(status.routes_version));
@@ -124,6 +132,15 @@
     }
   }
 
+  // Called by the I/O shard `from`, under its lock.
+  void PassOn(const ServerNotice& notice, unsigned from) {
+    for (unsigned i = 0; i < shards.size(); ++i) {
+      if (i != from) {
+        shards[i]->OnNotice(notice);
+      }
+    }
+  }
+
   ControlEvents Events() {
     ControlEvents events;
     events.on_routes =
--- a/libs/entry/src/entry_shard.cc
+++ b/libs/entry/src/entry_shard.cc
@@ -44,11 +44,13 @@
                        const EntryCodec& codec,
                        const relay::RelayPolicy& policy,
                        unsigned shards,
+                       NoticeHandler on_notice,
                        telemetry::Metrics& metrics)
     : thread_(thread),
       codec_(codec),
       policy_(policy),
       shards_(shards),
+      on_notice_(std::move(on_notice)),
       metrics_(metrics),
       random_(std::random_device{}()),
       connections_(
@@ -225,17 +227,18 @@
 
 ShardCounts EntryShard::Count() {
   std::lock_guard lock(mutex_);
+  const SteadyTime now = BootTime();
   ShardCounts counts;
   counts.requests_in_flight = active_.size();
   for (const auto& [service, pool] : pools_) {
-    counts.servers_ready += static_cast<size_t>(
-        std::count_if(pool.servers.begin(), pool.servers.end(),
-                      [](const relay::PoolServer& it) { return it.usable; }));
-    counts.servers_limited += static_cast<size_t>(std::count_if(
-        pool.servers.begin(), pool.servers.end(),
-        [](const relay::PoolServer& it) {
-          return it.usable && it.request_limit.per_second.has_value();
-        }));
+    for (const relay::PoolServer& it : pool.servers) {
+      counts.servers_leaving += it.notices.leaving_since ? 1 : 0;
+      if (it.usable) {
+        ++counts.servers_ready;
+        counts.servers_limited += it.request_limit.per_second ? 1 : 0;
+        counts.servers_resting += IsResting(it.notices, now) ? 1 : 0;
+      }
+    }
   }
   return counts;
 }
--- a/libs/entry/src/entry_shard.h
+++ b/libs/entry/src/entry_shard.h
@@ -5,6 +5,7 @@
 #define GOOSEBERRYROCK_LIBS_ENTRY_SRC_ENTRY_SHARD_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -25,6 +26,7 @@
 #include "gooseberryrock/relay/weighted_choice.h"
 #include "gooseberryrock/routes/route_table.h"
 #include "gooseberryrock/transport/http_message.h"
+#include "server_notice.h"
 
 namespace gooseberryrock::telemetry {
 struct Metrics;
@@ -44,15 +46,21 @@
   size_t requests_in_flight = 0;
   size_t servers_ready = 0;
   size_t servers_limited = 0;
+  size_t servers_resting = 0;
+  size_t servers_leaving = 0;
 };
 
 class EntryShard {
  public:
+  // Passes a notice on to the other I/O shards.
+  using NoticeHandler = std::function<void(const ServerNotice&)>;
+
   // `shards` is the number of I/O shards that divide the limits of the node.
   EntryShard(transport::IoThread& thread,
              const EntryCodec& codec,
              const relay::RelayPolicy& policy,
              unsigned shards,
+             NoticeHandler on_notice,
              telemetry::Metrics& metrics);
   EntryShard(const EntryShard&) = delete;
   EntryShard& operator=(const EntryShard&) = delete;
@@ -65,6 +73,8 @@
   void SetRoutes(RouteTablePtr table);
   void UpdateServers(std::vector<ServerChange> changes);
   void SetConnectionPlan(ConnectionPlan plan);
+  // Handles a notice that another I/O shard received.
+  void OnNotice(const ServerNotice& notice);
   ShardCounts Count();
 
  private:
@@ -101,11 +111,20 @@
   void Transmit(AttemptKey key, const ConnectionPtr& connection);
   void OnReply(AttemptKey key, transport::Reply reply);
   void OnMatchingReply(AttemptKey key, transport::Reply reply);
-  // Records the limit that a reply names, or that it names none.
-  void UpdateLimit(relay::PoolServer& server,
-                   const relay::ServerReply& reply,
+  // Records what a reply says about the server itself.
+  void RecordStatements(relay::ServicePool& pool,
+                        relay::PoolServer& server,
+                        const relay::ServerReply& reply,
+                        SteadyTime sent_at,
+                        SteadyTime now);
+  void RecordLimit(relay::PoolServer& server,
+                   std::optional<double> per_second,
                    SteadyTime sent_at,
                    SteadyTime now);
+  void ApplyNotice(relay::ServicePool& pool,
+                   relay::PoolServer& server,
+                   const ServerNotice& notice,
+                   SteadyTime now);
   void OnLost(AttemptKey key, relay::AttemptResult result);
   void OnNoConnection(AttemptKey key);
   void HandleCallerDisconnect(RequestNumber number);
@@ -128,6 +147,7 @@
   const EntryCodec& codec_;
   const relay::RelayPolicy policy_;
   const unsigned shards_;
+  const NoticeHandler on_notice_;
   telemetry::Metrics& metrics_;
 
   std::mutex mutex_;
--- a/libs/entry/src/entry_shard_attempts.cc
+++ b/libs/entry/src/entry_shard_attempts.cc
@@ -9,6 +9,7 @@
 #include "gooseberryrock/telemetry/log_event.h"
 #include "gooseberryrock/telemetry/metrics.h"
 #include "gooseberryrock/transport/exchange.h"
+#include "gooseberryrock/transport/io_thread.h"
 #include "gooseberryrock/transport/server_connection.h"
 #include "outcome_log.h"
 
@@ -195,7 +196,8 @@
     if (decoded.load) {
       relay::RecordLoad(server->stats, *decoded.load, now);
     }
-    UpdateLimit(*server, decoded, in_flight_attempt.sent_at, now);
+    RecordStatements(*in_flight_attempt.pool, *server, decoded,
+                     in_flight_attempt.sent_at, now);
     if (decoded.kind == relay::ReplyKind::kOtherServer) {
       server->usable = false;
       telemetry::LogEvent(LogLevel::kWarning, "server_replaced",
@@ -229,18 +231,42 @@
                                      std::move(decoded), Context(), now));
 }
 
-void EntryShard::UpdateLimit(relay::PoolServer& server,
-                             const relay::ServerReply& reply,
-                             SteadyTime sent_at,
-                             SteadyTime now) {
-  if (reply.has_malformed_limit) {
-    Increment(metrics_, Counter::kServerLimitsMalformed);
-    telemetry::LogEvent(LogLevel::kWarning, "server_limit_malformed",
+void EntryShard::RecordStatements(relay::ServicePool& pool,
+                                  relay::PoolServer& server,
+                                  const relay::ServerReply& reply,
+                                  SteadyTime sent_at,
+                                  SteadyTime now) {
+  if (reply.has_malformed_statement) {
+    Increment(metrics_, Counter::kServerStatementsMalformed);
+    telemetry::LogEvent(LogLevel::kWarning, "server_statement_malformed",
                         {{"server", server.id.value}});
-    return;
+  } else {
+    RecordLimit(server, reply.request_limit, sent_at, now);
+  }
+  ServerNotice notice;
+  notice.server = server.id;
+  notice.incarnation = server.incarnation;
+  notice.leaving = reply.leaving;
+  notice.rest = reply.rest.value_or(Duration::zero());
+  if (notice.leaving || notice.rest > Duration::zero()) {
+    ApplyNotice(pool, server, notice, now);
+    on_notice_(notice);
+  } else if (server.notices.rests_until) {
+    relay::RecordAwake(server.notices, sent_at);
+    if (!server.notices.rests_until) {
+      telemetry::LogEvent(
+          LogLevel::kInfo, "server_awake",
+          {{"server", server.id.value}, {"service", pool.service.value}});
+    }
   }
+}
+
+void EntryShard::RecordLimit(relay::PoolServer& server,
+                             std::optional<double> per_second,
+                             SteadyTime sent_at,
+                             SteadyTime now) {
   const std::optional<double> before = server.request_limit.per_second;
-  relay::RecordLimit(server.request_limit, reply.request_limit, sent_at, now);
+  relay::RecordLimit(server.request_limit, per_second, sent_at, now);
   const std::optional<double> after = server.request_limit.per_second;
   if (before == after) {
     return;
@@ -253,6 +279,45 @@
                        {"share", std::to_string(server.request_limit.share)}});
 }
 
+void EntryShard::ApplyNotice(relay::ServicePool& pool,
+                             relay::PoolServer& server,
+                             const ServerNotice& notice,
+                             SteadyTime now) {
+  if (notice.rest > Duration::zero()) {
+    if (!IsResting(server.notices, now)) {
+      telemetry::LogEvent(LogLevel::kInfo, "server_resting",
+                          {{"server", server.id.value},
+                           {"service", pool.service.value},
+                           {"rest_ms", Milliseconds(notice.rest)}});
+    }
+    relay::RecordRest(server.notices, notice.rest, now);
+  }
+  if (notice.leaving && !server.notices.leaving_since) {
+    server.notices.leaving_since = now;
+    server.usable = false;
+    telemetry::LogEvent(
+        LogLevel::kInfo, "server_leaving",
+        {{"server", server.id.value}, {"service", pool.service.value}});
+  }
+  // Attempts that wait for a connection to the server go elsewhere.
+  connections_.CancelAllWaits(server);
+}
+
+void EntryShard::OnNotice(const ServerNotice& notice) {
+  thread_.Post([this, notice] {
+    std::lock_guard lock(mutex_);
+    auto record = records_.find(notice.server);
+    if (record == records_.end()) {
+      return;
+    }
+    relay::ServicePool& pool = PoolOf(record->second.service);
+    relay::PoolServer* server = relay::FindServer(pool, notice.server);
+    if (server != nullptr && server->incarnation == notice.incarnation) {
+      ApplyNotice(pool, *server, notice, BootTime());
+    }
+  });
+}
+
 void EntryShard::OnLost(AttemptKey key, relay::AttemptResult result) {
   const InFlightAttempt in_flight_attempt = RemoveAttempt(key);
   const SteadyTime now = BootTime();
--- a/libs/entry/src/entry_shard_servers.cc
+++ b/libs/entry/src/entry_shard_servers.cc
@@ -43,12 +43,15 @@
   RetryParked();
   for (auto& [service, pool] : pools_) {
     for (relay::PoolServer& it : pool.servers) {
-      const bool prewarm = it.usable && it.stats.consecutive_failures == 0;
+      const bool prewarm = it.usable && it.stats.consecutive_failures == 0 &&
+                           !IsResting(it.notices, now);
       connections_.Maintain(pool, it, prewarm ? it.prewarmed_connections : 0);
     }
     std::erase_if(pool.servers, [](const relay::PoolServer& it) {
-      return !it.usable && it.connections == 0 && it.queued == 0 &&
-             it.stats.outstanding == 0;
+      // A server that leaves is kept until it is announced as gone: it may
+      // still announce itself as ready.
+      return !it.usable && !it.notices.leaving_since && it.connections == 0 &&
+             it.queued == 0 && it.stats.outstanding == 0;
     });
   }
 }
@@ -103,13 +106,15 @@
     server = &pool.servers.emplace_back();
     server->id = record.id;
   }
-  if (server->usable != change.usable || restarted) {
+  const bool usable =
+      change.usable && (restarted || !server->notices.leaving_since);
+  if (server->usable != usable || restarted) {
     telemetry::LogEvent(
         LogLevel::kInfo, "server_changed",
         {{"server", record.id.value},
          {"service", record.service.value},
          {"state", std::string(directory::ServerStateName(record.state))},
-         {"usable", change.usable ? "true" : "false"},
+         {"usable", usable ? "true" : "false"},
          {"incarnation", std::to_string(record.incarnation)}});
   }
   if (restarted) {
@@ -119,13 +124,19 @@
     server->stats.outstanding = outstanding;
     server->stats.overdue = overdue;
     server->request_limit = {};
+    server->notices = {};
   }
   server->incarnation = record.incarnation;
   server->host = record.host;
   server->port = record.port;
   server->slots = record.slots;
-  server->usable = change.usable;
-  if (!change.usable) {
+  // What the server says in its replies goes before its announcements, which
+  // may be late or come from before.
+  server->usable = usable;
+  if (record.state == directory::ServerState::kGone) {
+    server->notices = {};
+  }
+  if (!server->usable) {
     connections_.Maintain(pool, *server, 0);
   }
   ApplyShares(pool);
--- a/libs/entry/src/outcome_log.cc
+++ b/libs/entry/src/outcome_log.cc
@@ -29,6 +29,8 @@
       return "servers_refused";
     case relay::RefusalReason::kServersLimited:
       return "servers_limited";
+    case relay::RefusalReason::kServersResting:
+      return "servers_resting";
     case relay::RefusalReason::kNotInTime:
       return "not_in_time";
   }
--- a/libs/relay/include/gooseberryrock/relay/choose_server.h
+++ b/libs/relay/include/gooseberryrock/relay/choose_server.h
@@ -60,16 +60,18 @@
                                    SteadyTime now);
 
 // Returns when the server may get a request: a failed one when it is due for a
-// probe, a limited one when its limit allows another. SteadyTime::max() if it
-// accepts no work.
+// probe, a resting one at the end of its rest, a limited one when its limit
+// allows another. SteadyTime::max() if it accepts no work.
 SteadyTime AvailableAt(const PoolServer& server, Rank rank, SteadyTime now);
 
 // Whether no server of the pool may get a request now: all usable ones have
-// failed and are not due for a probe, or are at their request limits.
+// failed and are not due for a probe, rest, or are at their request limits.
 bool IsUnavailable(const ServicePool& pool, Rank rank, SteadyTime now);
 
-// Whether a usable server of the pool is at its request limit.
-bool IsLimited(const ServicePool& pool, Rank rank, SteadyTime now);
+// Whether a usable server of the pool is at its request limit, or rests or has
+// not replied since its rest.
+bool HasLimitedServer(const ServicePool& pool, Rank rank, SteadyTime now);
+bool HasRestingServer(const ServicePool& pool);
 
 }  // namespace gooseberryrock::relay
 
--- a/libs/relay/include/gooseberryrock/relay/outcome.h
+++ b/libs/relay/include/gooseberryrock/relay/outcome.h
@@ -36,6 +36,8 @@
   kServersRefused,
   // The servers accept fewer requests per second.
   kServersLimited,
+  // The servers want no requests for some time.
+  kServersResting,
   kNotInTime,
 };
 
--- a/libs/relay/include/gooseberryrock/relay/pool_server.h
+++ b/libs/relay/include/gooseberryrock/relay/pool_server.h
@@ -8,6 +8,7 @@
 
 #include "gooseberryrock/base/ids.h"
 #include "gooseberryrock/relay/request_limit.h"
+#include "gooseberryrock/relay/server_notices.h"
 #include "gooseberryrock/relay/server_stats.h"
 
 namespace gooseberryrock::relay {
@@ -25,8 +26,8 @@
   uint32_t connection_share = 1;
   // Number of connections to open in advance.
   uint32_t prewarmed_connections = 0;
-  // The server is announced as ready, and no other server was found at its
-  // address.
+  // The server is announced as ready and has not said in a reply that it
+  // leaves, and no other server was found at its address.
   bool usable = true;
   // Open connections, including those being opened, and those of them that
   // carry no request.
@@ -36,6 +37,7 @@
   uint32_t queued = 0;
   ServerStats stats;
   RequestLimit request_limit;
+  ServerNotices notices;
 
   // Whether the server accepts new attempts.
   bool AcceptsWork() const { return usable && connection_share > 0; }
--- a/libs/relay/include/gooseberryrock/relay/server_reply.h
+++ b/libs/relay/include/gooseberryrock/relay/server_reply.h
@@ -7,6 +7,8 @@
 #include <optional>
 #include <string>
 
+#include "gooseberryrock/base/time.h"
+
 namespace gooseberryrock::relay {
 
 enum class ReplyKind {
@@ -33,8 +35,12 @@
   // Requests per second that the server accepts from all nodes together, if it
   // names a limit; finite and not negative.
   std::optional<double> request_limit;
-  // The reply states a limit that cannot be read.
-  bool has_malformed_limit = false;
+  // The server leaves and wants no new requests.
+  bool leaving = false;
+  // The server refused the request and wants none for this time.
+  std::optional<Duration> rest;
+  // The reply makes a statement about the server that cannot be read.
+  bool has_malformed_statement = false;
 };
 
 }  // namespace gooseberryrock::relay
--- a/libs/relay/src/choose_server.cc
+++ b/libs/relay/src/choose_server.cc
@@ -13,11 +13,18 @@
 
 namespace {
 
+// Whether the server's announcements and replies allow a request of `rank`.
+bool MayGetRequest(const PoolServer& server, Rank rank, SteadyTime now) {
+  const bool is_idle = server.stats.outstanding + server.queued == 0;
+  return server.AcceptsWork() && !IsResting(server.notices, now) &&
+         (is_idle || !IsReturning(server.notices, now)) &&
+         MaySend(server.request_limit, rank, now);
+}
+
 bool IsCandidate(const PoolServer& server,
                  const Selection& selection,
                  SteadyTime now) {
-  if (!server.AcceptsWork() ||
-      !MaySend(server.request_limit, selection.rank, now)) {
+  if (!MayGetRequest(server, selection.rank, now)) {
     return false;
   }
   if (selection.only_healthy && IsSuspect(server.stats, now)) {
@@ -64,8 +71,7 @@
                          SteadyTime now) {
   Duration least = Duration::max();
   for (const PoolServer& it : pool.servers) {
-    if (it.AcceptsWork() && !IsSuspect(it.stats, now) &&
-        MaySend(it.request_limit, selection.rank, now)) {
+    if (MayGetRequest(it, selection.rank, now) && !IsSuspect(it.stats, now)) {
       least = std::min(least, ExpectedTime(pool, it, policy, selection, now));
     }
   }
@@ -141,27 +147,34 @@
   if (!server.AcceptsWork()) {
     return SteadyTime::max();
   }
-  const SteadyTime allowed_at = NextSendTime(server.request_limit, rank, now);
+  const SteadyTime allowed_at =
+      std::max(server.notices.rests_until.value_or(now),
+               NextSendTime(server.request_limit, rank, now));
   return server.stats.consecutive_failures > 0
              ? std::max(server.stats.next_probe, allowed_at)
              : allowed_at;
 }
 
 bool IsUnavailable(const ServicePool& pool, Rank rank, SteadyTime now) {
-  return std::all_of(pool.servers.begin(), pool.servers.end(),
-                     [&](const PoolServer& it) {
-                       return !it.AcceptsWork() ||
-                              (IsSuspect(it.stats, now) &&
-                               it.stats.consecutive_failures > 0) ||
-                              !MaySend(it.request_limit, rank, now);
-                     });
+  return std::all_of(
+      pool.servers.begin(), pool.servers.end(), [&](const PoolServer& it) {
+        return !MayGetRequest(it, rank, now) ||
+               (IsSuspect(it.stats, now) && it.stats.consecutive_failures > 0);
+      });
 }
 
-bool IsLimited(const ServicePool& pool, Rank rank, SteadyTime now) {
+bool HasLimitedServer(const ServicePool& pool, Rank rank, SteadyTime now) {
   return std::any_of(
       pool.servers.begin(), pool.servers.end(), [&](const PoolServer& it) {
         return it.AcceptsWork() && !MaySend(it.request_limit, rank, now);
       });
 }
 
+bool HasRestingServer(const ServicePool& pool) {
+  return std::any_of(pool.servers.begin(), pool.servers.end(),
+                     [](const PoolServer& it) {
+                       return it.AcceptsWork() && it.notices.rests_until;
+                     });
+}
+
 }  // namespace gooseberryrock::relay
--- a/libs/relay/src/request_machine.cc
+++ b/libs/relay/src/request_machine.cc
@@ -165,30 +165,52 @@
   return std::max(wait, kDefaultRetryAfter);
 }
 
-// Returns kServersLimited if a part cannot be served because of request limits,
-// otherwise `reason`.
+// Returns the reason why a part cannot be served if the servers themselves
+// stated it, otherwise `reason`.
 RefusalReason RefusalReasonOf(const RequestState& state,
                               RefusalReason reason,
                               SteadyTime now) {
   const Rank rank = state.route->rank;
-  const bool limited = std::any_of(
-      state.parts.begin(), state.parts.end(), [&](const RequestPart& it) {
-        return IsUnavailable(*it.pool, rank, now) &&
-               IsLimited(*it.pool, rank, now);
-      });
-  return limited ? RefusalReason::kServersLimited : reason;
+  for (const RequestPart& it : state.parts) {
+    if (!IsUnavailable(*it.pool, rank, now)) {
+      continue;
+    }
+    if (HasRestingServer(*it.pool)) {
+      return RefusalReason::kServersResting;
+    }
+    if (HasLimitedServer(*it.pool, rank, now)) {
+      return RefusalReason::kServersLimited;
+    }
+  }
+  return reason;
+}
+
+// Refuses the request with the time after which it can be served. Callers that
+// are refused for the same time are spread over half as much again.
+RefusedOutcome Refuse(const RequestState& state,
+                      RefusalReason reason,
+                      RelayContext context,
+                      SteadyTime now) {
+  RefusedOutcome outcome = {RefusalReasonOf(state, reason, now),
+                            RetryDelay(state, now)};
+  if (outcome.reason == RefusalReason::kServersResting ||
+      outcome.reason == RefusalReason::kServersLimited) {
+    std::uniform_real_distribution<double> spread(1.0, 1.5);
+    outcome.retry_after = Scale(outcome.retry_after, spread(context.random));
+  }
+  return outcome;
 }
 
 // The outcome of a request that can no longer succeed.
 Outcome FailureOutcome(const RequestState& state,
                        RefusalReason reason,
+                       RelayContext context,
                        SteadyTime now) {
   if (state.failed_reply != 0) {
     return RelayedOutcome{state.failed_reply};
   }
   if (!MayHaveRun(state)) {
-    return RefusedOutcome{RefusalReasonOf(state, reason, now),
-                          RetryDelay(state, now)};
+    return Refuse(state, reason, context, now);
   }
   return FailedOutcome{state.IsGathered()      ? FailureReason::kTooFewShards
                        : state.connection_lost ? FailureReason::kConnectionLost
@@ -213,12 +235,14 @@
     }
     if (n - state.parts_failed < state.min_parts) {
       Finish(state,
-             FailureOutcome(state, RefusalReason::kShardsUnavailable, now), now,
-             effects);
+             FailureOutcome(state, RefusalReason::kShardsUnavailable, context,
+                            now),
+             now, effects);
       return;
     }
   } else if (all_ended) {
-    Finish(state, FailureOutcome(state, RefusalReason::kServersRefused, now),
+    Finish(state,
+           FailureOutcome(state, RefusalReason::kServersRefused, context, now),
            now, effects);
     return;
   }
@@ -386,8 +410,9 @@
     SkipShards(state, context, now);
     if (state.parts.size() - state.parts_failed < state.min_parts) {
       Finish(state,
-             FailureOutcome(state, RefusalReason::kShardsUnavailable, now), now,
-             effects);
+             FailureOutcome(state, RefusalReason::kShardsUnavailable, context,
+                            now),
+             now, effects);
       return effects;
     }
     if (const auto wait = OverloadRetryDelay(state, context, now)) {
@@ -407,10 +432,8 @@
     }
   }
   if (state.parts_failed == state.parts.size()) {
-    Finish(state,
-           RefusedOutcome{RefusalReasonOf(state, RefusalReason::kNoServer, now),
-                          RetryDelay(state, now)},
-           now, effects);
+    Finish(state, Refuse(state, RefusalReason::kNoServer, context, now), now,
+           effects);
     return effects;
   }
   FinishOrSetTimer(state, context, now, effects);
@@ -507,8 +530,9 @@
       Finish(state, MakeGatheredOutcome(state, /*settled_early=*/true), now,
              effects);
     } else {
-      Finish(state, FailureOutcome(state, RefusalReason::kNotInTime, now), now,
-             effects);
+      Finish(state,
+             FailureOutcome(state, RefusalReason::kNotInTime, context, now),
+             now, effects);
     }
     return effects;
   }
