transport: refuse messages whose end is not certain

Callers saw: a request with a transfer coding other than plain chunked was answered, and what followed it run as a request of its own.

Cause: the session counted the fields that give a length and did not look at what they say. The parser takes a request whose last coding is not chunked as one without a body.

Ruled out: chunk sizes with signs, spaces, bare line feeds or too many digits, trailers and extensions that don't parse, bare line feeds and spaces before the colon in the header; the parser refuses them and the connection is closed.

Change: one check for both directions (RFC 9112, 6.1 and 6.3): a length given twice, or as a list, a last coding other than chunked, a coding in HTTP/1.0, and a body with TRACE or CONNECT are answered 400, another coding before chunked 501; the connection is closed. A reply of that kind is malformed and its connection is not used again. Each refusal is logged with its reason (request_malformed) and counted (gbr_bad_requests_total) at every listener: callers, operators and servers, metrics and ready checks use the same session.

Not looked at: the client side of libs/http, which uses cxxtools, and the stand-in programs.

--- a/libs/control/src/control_node.cc
+++ b/libs/control/src/control_node.cc
@@ -272,6 +272,10 @@
                static_cast<double>(routes.version));
     }
     const peer::PeerStats stats = socket->Stats();
+    const uint64_t malformed = server->MalformedRequests();
+    Increment(metrics, telemetry::Counter::kBadRequests,
+              malformed - counted_malformed);
+    counted_malformed = malformed;
     monitoring::CountPeerFrames(metrics, counted_frames, stats);
     counted_frames = stats;
   }
@@ -592,6 +596,7 @@
   telemetry::Metrics metrics;
   // Used on the I/O thread only.
   peer::PeerStats counted_frames;
+  uint64_t counted_malformed = 0;
   transport::IoThread io;
   ControlPeers peers;
   std::optional<peer::PeerSocket> socket;
--- a/libs/entry/src/entry_node.cc
+++ b/libs/entry/src/entry_node.cc
@@ -119,6 +119,10 @@
                    .count());
     }
     SetGauge(metrics, Gauge::kReady, IsReady() ? 1 : 0);
+    const uint64_t malformed = callers->MalformedRequests();
+    Increment(metrics, telemetry::Counter::kBadRequests,
+              malformed - counted_malformed);
+    counted_malformed = malformed;
     monitoring::CountPeerFrames(metrics, reported_frames, status.frames);
     reported_frames = status.frames;
   }
@@ -191,6 +195,7 @@
   telemetry::Metrics metrics;
   // Used on the first I/O thread only.
   peer::PeerStats reported_frames;
+  uint64_t counted_malformed = 0;
   std::atomic<bool> draining = false;
   std::vector<std::unique_ptr<transport::IoThread>> threads;
   std::vector<std::unique_ptr<EntryShard>> shards;
--- a/libs/http/include/gooseberryrock/http/http_server.h
+++ b/libs/http/include/gooseberryrock/http/http_server.h
@@ -40,6 +40,10 @@
   // Stops listening and waits for requests in flight.
   ~HttpServer();
 
+  // Number of requests that were refused because they could not be read, since
+  // the start.
+  uint64_t MalformedRequests() const;
+
  private:
   struct Impl;
   std::unique_ptr<Impl> impl_;
--- a/libs/http/src/http_server.cc
+++ b/libs/http/src/http_server.cc
@@ -144,4 +144,8 @@
 
 HttpServer::~HttpServer() = default;
 
+uint64_t HttpServer::MalformedRequests() const {
+  return impl_->server.MalformedRequests();
+}
+
 }  // namespace gooseberryrock::http
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -335,6 +335,12 @@
     const peer::PeerStats stats = socket.Stats();
     monitoring::CountPeerFrames(metrics, reported_stats, stats);
     reported_stats = stats;
+    if (server) {
+      const uint64_t malformed = server->MalformedRequests();
+      Increment(metrics, telemetry::Counter::kBadRequests,
+                malformed - counted_malformed);
+      counted_malformed = malformed;
+    }
   }
 
   void RegisterHandlers() {
@@ -407,6 +413,7 @@
   // Guarded by `stats_mutex`. The socket statistics already added to the peer
   // frame counters.
   peer::PeerStats reported_stats;
+  uint64_t counted_malformed = 0;
 };
 
 Node::Node(const settings::Settings& settings)
--- a/libs/transport/include/gooseberryrock/transport/web_server.h
+++ b/libs/transport/include/gooseberryrock/transport/web_server.h
@@ -4,6 +4,7 @@
 #ifndef GOOSEBERRYROCK_TRANSPORT_WEB_SERVER_H_
 #define GOOSEBERRYROCK_TRANSPORT_WEB_SERVER_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <vector>
@@ -58,6 +59,10 @@
   // last response has been sent.
   size_t OpenConnections() const;
 
+  // Number of requests that were refused because they could not be read, since
+  // the start.
+  uint64_t MalformedRequests() const;
+
  private:
   struct Impl;
   std::unique_ptr<Impl> impl_;
--- /dev/null
+++ b/libs/transport/src/message_framing.h
@@ -0,0 +1,35 @@
+// Checks that the end of a message is certain. The parser accepts headers that
+// another reader of the same connection takes otherwise.
+
+#ifndef GOOSEBERRYROCK_LIBS_TRANSPORT_SRC_MESSAGE_FRAMING_H_
+#define GOOSEBERRYROCK_LIBS_TRANSPORT_SRC_MESSAGE_FRAMING_H_
+
+#include <string_view>
+
+#include "gooseberryrock/transport/http_message.h"
+
+namespace gooseberryrock::transport {
+
+enum class FramingProblem {
+  kNone,
+  // The length of the body is specified more than once.
+  kConflictingLength,
+  // HTTP/1.0 has no transfer codings.
+  kCodingInOldVersion,
+  // The last transfer coding is not `chunked`, so that the length is unknown.
+  kUnknownLength,
+  // A transfer coding other than `chunked`.
+  kUnknownCoding,
+  // The method has no body.
+  kUnexpectedBody,
+};
+
+FramingProblem CheckFraming(const Request& request);
+FramingProblem CheckFraming(const Response& response);
+
+// A word for log lines.
+std::string_view FramingProblemName(FramingProblem problem);
+
+}  // namespace gooseberryrock::transport
+
+#endif  // GOOSEBERRYROCK_LIBS_TRANSPORT_SRC_MESSAGE_FRAMING_H_
--- a/libs/transport/src/server_connection.cc
+++ b/libs/transport/src/server_connection.cc
@@ -12,6 +12,7 @@
 #include <boost/beast/http.hpp>
 
 #include "gooseberryrock/transport/endpoint.h"
+#include "message_framing.h"
 #include "socket_options.h"
 
 namespace gooseberryrock::transport {
@@ -159,6 +160,10 @@
     }
     reply.status = ReplyStatus::kMalformed;
   }
+  if (reply.status == ReplyStatus::kComplete &&
+      CheckFraming(impl.parser->get()) != FramingProblem::kNone) {
+    reply.status = ReplyStatus::kMalformed;
+  }
   if (reply.status == ReplyStatus::kComplete) {
     // Bytes after the reply, or a request body that the peer has not read
     // completely, would be mistaken for part of the next exchange.
--- a/libs/transport/src/web_server.cc
+++ b/libs/transport/src/web_server.cc
@@ -185,4 +185,8 @@
   return impl_->shared->open_connections;
 }
 
+uint64_t WebServer::MalformedRequests() const {
+  return impl_->shared->malformed_requests;
+}
+
 }  // namespace gooseberryrock::transport
--- a/libs/transport/src/web_session.cc
+++ b/libs/transport/src/web_session.cc
@@ -6,9 +6,12 @@
 
 #include <algorithm>
 #include <array>
+#include <string>
 #include <utility>
 
 #include "gooseberryrock/base/clock.h"
+#include "gooseberryrock/telemetry/log_event.h"
+#include "message_framing.h"
 
 namespace gooseberryrock::transport {
 
@@ -52,14 +55,6 @@
          ec != http::error::end_of_stream && ec != http::error::partial_message;
 }
 
-// Whether the header specifies the body length more than once. A peer that
-// interprets it differently would treat part of the body as another request.
-bool HasAmbiguousLength(const http::request<http::string_body>& request) {
-  return request.count(http::field::content_length) +
-             request.count(http::field::transfer_encoding) >
-         1;
-}
-
 }  // namespace
 
 Exchange::Exchange(std::shared_ptr<WebSession> session,
@@ -147,7 +142,8 @@
           return;
         }
         if (ec) {
-          IsParseError(ec) ? self->RespondToError(StatusOf(ec)) : self->Close();
+          IsParseError(ec) ? self->RespondToError(StatusOf(ec), ec.message())
+                           : self->Close();
           return;
         }
         self->ReadBody();
@@ -155,8 +151,12 @@
 }
 
 void WebSession::ReadBody() {
-  if (HasAmbiguousLength(parser_->get())) {
-    RespondToError(http::status::bad_request);
+  const FramingProblem problem = CheckFraming(parser_->get());
+  if (problem != FramingProblem::kNone) {
+    RespondToError(problem == FramingProblem::kUnknownCoding
+                       ? http::status::not_implemented
+                       : http::status::bad_request,
+                   FramingProblemName(problem));
     return;
   }
   if (parser_->is_done()) {
@@ -165,7 +165,7 @@
   }
   const auto length = parser_->content_length();
   if (length && *length > shared_->Limits().body_bytes) {
-    RespondToError(http::status::payload_too_large);
+    RespondToError(http::status::payload_too_large, "too_large");
     return;
   }
   deadline_ = BootTime() + shared_->Limits().body_timeout;
@@ -175,8 +175,9 @@
                        return;
                      }
                      if (ec) {
-                       IsParseError(ec) ? self->RespondToError(StatusOf(ec))
-                                        : self->Close();
+                       IsParseError(ec)
+                           ? self->RespondToError(StatusOf(ec), ec.message())
+                           : self->Close();
                        return;
                      }
                      self->Dispatch();
@@ -218,7 +219,12 @@
   }
 }
 
-void WebSession::RespondToError(http::status status) {
+void WebSession::RespondToError(http::status status, std::string_view reason) {
+  ++shared_->malformed_requests;
+  telemetry::LogEvent(
+      telemetry::LogLevel::kWarning, "request_malformed",
+      {{"status", std::to_string(static_cast<unsigned>(status))},
+       {"reason", std::string(reason)}});
   if (status == http::status::payload_too_large) {
     max_discarded_ = kMaxDiscardedBody;
   }
--- a/libs/transport/src/web_session.h
+++ b/libs/transport/src/web_session.h
@@ -4,11 +4,13 @@
 #define GOOSEBERRYROCK_LIBS_TRANSPORT_SRC_WEB_SESSION_H_
 
 #include <atomic>
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <string_view>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -26,6 +28,7 @@
   WebServer::Handler handler;
   std::atomic<bool> draining = false;
   std::atomic<size_t> open_connections = 0;
+  std::atomic<uint64_t> malformed_requests = 0;
 
   WebLimits Limits() const {
     std::lock_guard lock(mutex);
@@ -69,7 +72,9 @@
   void ReadHeader();
   void ReadBody();
   void Dispatch();
-  void RespondToError(boost::beast::http::status status);
+  // `reason` is for the log and must not contain bytes of the request.
+  void RespondToError(boost::beast::http::status status,
+                      std::string_view reason);
   void CheckCallerDisconnected();
   void OnWritten(bool failed, bool keep_alive);
   void Linger();
--- a/tests/transport/server_connection_test.cc
+++ b/tests/transport/server_connection_test.cc
@@ -106,7 +106,7 @@
     // Dissolving the association resets the connection.
     sockaddr none = {};
     none.sa_family = AF_UNSPEC;
-    ::connect(socket.fd(), &none, sizeof(none));
+    EXPECT_EQ(::connect(socket.fd(), &none, sizeof(none)), 0);
   });
   EXPECT_EQ(Call(server).status, ReplyStatus::kConnectionLost);
 }
