--- a/libs/relay/src/request_machine.cc
+++ b/libs/relay/src/request_machine.cc
@@ -10,6 +10,7 @@
 #include "gooseberryrock/relay/gather.h"
 #include "gooseberryrock/relay/relay_policy.h"
 #include "gooseberryrock/relay/server_reply.h"
+#include "refusal.h"
 #include "scale.h"
 
 namespace gooseberryrock::relay {
@@ -19,10 +20,6 @@
 // Refused attempts after which a part of the request is not retried: the usual
 // number of servers of a service.
 constexpr uint32_t kMaxRefusals = 3;
-// Default retry delay for callers: the time it takes to announce a server or to
-// probe it again.
-constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(300);
-
 // Minimum retry delay under overload: the time to work off a few requests.
 constexpr Duration kMinOverloadDelay = std::chrono::milliseconds(50);
 
@@ -139,84 +136,6 @@
   return outcome;
 }
 
-bool MayHaveRun(const RequestState& state) {
-  return std::any_of(state.parts.begin(), state.parts.end(),
-                     [](const RequestPart& it) { return it.may_have_run; });
-}
-
-// Returns the time until every unavailable part has a server that may get a
-// request, but at least kDefaultRetryAfter. Parts without usable servers are
-// left out.
-Duration RetryDelay(const RequestState& state, SteadyTime now) {
-  Duration wait = Duration::zero();
-  const Rank rank = state.route->rank;
-  for (const RequestPart& part : state.parts) {
-    if (!IsUnavailable(*part.pool, rank, now)) {
-      continue;
-    }
-    SteadyTime soonest = SteadyTime::max();
-    for (const PoolServer& it : part.pool->servers) {
-      soonest = std::min(soonest, AvailableAt(it, rank, now));
-    }
-    if (soonest < SteadyTime::max()) {
-      wait = std::max(wait, soonest - now);
-    }
-  }
-  return std::max(wait, kDefaultRetryAfter);
-}
-
-// Returns the reason why a part cannot be served if the servers themselves
-// stated it, otherwise `reason`.
-RefusalReason RefusalReasonOf(const RequestState& state,
-                              RefusalReason reason,
-                              SteadyTime now) {
-  const Rank rank = state.route->rank;
-  for (const RequestPart& it : state.parts) {
-    if (!IsUnavailable(*it.pool, rank, now)) {
-      continue;
-    }
-    if (HasRestingServer(*it.pool)) {
-      return RefusalReason::kServersResting;
-    }
-    if (HasLimitedServer(*it.pool, rank, now)) {
-      return RefusalReason::kServersLimited;
-    }
-  }
-  return reason;
-}
-
-// Refuses the request with the time after which it can be served. Callers that
-// are refused for the same time are spread over half as much again.
-RefusedOutcome Refuse(const RequestState& state,
-                      RefusalReason reason,
-                      RelayContext context,
-                      SteadyTime now) {
-  RefusedOutcome outcome = {RefusalReasonOf(state, reason, now),
-                            RetryDelay(state, now)};
-  if (outcome.reason == RefusalReason::kServersResting ||
-      outcome.reason == RefusalReason::kServersLimited) {
-    std::uniform_real_distribution<double> spread(1.0, 1.5);
-    outcome.retry_after = Scale(outcome.retry_after, spread(context.random));
-  }
-  return outcome;
-}
-
-// The outcome of a request that can no longer succeed.
-Outcome FailureOutcome(const RequestState& state,
-                       RefusalReason reason,
-                       RelayContext context,
-                       SteadyTime now) {
-  if (state.failed_reply != 0) {
-    return RelayedOutcome{state.failed_reply};
-  }
-  if (!MayHaveRun(state)) {
-    return Refuse(state, reason, context, now);
-  }
-  return FailedOutcome{state.IsGathered()      ? FailureReason::kTooFewShards
-                       : state.connection_lost ? FailureReason::kConnectionLost
-                                               : FailureReason::kTimeout};
-}
-
 // Finishes the request if no further reply is needed, or sets the next timer.
 void FinishOrSetTimer(RequestState& state,
                       RelayContext context,
