--- a/libs/control/src/control_node.cc
+++ b/libs/control/src/control_node.cc
@@ -23,9 +23,7 @@
 #include "gooseberryrock/control/log_gauges.h"
 #include "gooseberryrock/control/log_status.h"
 #include "gooseberryrock/control/member_repair.h"
-#include "gooseberryrock/control/membership_view.h"
 #include "gooseberryrock/control/replicated_log.h"
-#include "gooseberryrock/control/voter_health.h"
 #include "gooseberryrock/monitoring/metrics_server.h"
 #include "gooseberryrock/monitoring/peer_counters.h"
 #include "gooseberryrock/peer/frame.h"
@@ -42,6 +40,7 @@
 #include "gooseberryrock/transport/io_thread.h"
 #include "gooseberryrock/transport/web_server.h"
 #include "gooseberryrock/transport/worker_pool.h"
+#include "member_maintenance.h"
 #include "peer.pb.h"
 #include "registry.h"
 #include "route_calls.h"
@@ -133,6 +132,8 @@
                   socket->Send(to, peer::FrameKind::kConsensus,
                                std::move(body));
                 });
+    members.emplace(settings.node, settings.tolerated_losses, policy, peers,
+                    *log, started_at);
     client.emplace(
         ControlClientOptions{settings.node, {settings.node}}, &*log,
         [this](const NodeId& to, const proto::ForwardRequest& it) {
@@ -252,9 +253,8 @@
   // On the I/O thread.
   void UpdateMetrics() {
     const SteadyTime now = BootTime();
-    const LogStatus status = log->Status();
-    SetLogGauges(metrics, status, settings.node);
-    SetVoterGauges(metrics, AssessVoters(ViewOf(status, now), policy));
+    SetLogGauges(metrics, log->Status(), settings.node);
+    SetVoterGauges(metrics, members->Assess(now));
     const ServerCounts servers = registry.CountServers();
     SetGauge(metrics, Gauge::kServersReady, static_cast<double>(servers.ready));
     SetGauge(metrics, Gauge::kServersDraining,
@@ -402,15 +402,9 @@
 
   void RunMaintenance() {
     SteadyTime next_hello;
-    SteadyTime last_check = started_at;
     std::unique_lock lock(mutex);
     while (!stopping) {
       const SteadyTime now = BootTime();
-      // While this VM was suspended it received no hellos.
-      if (now - last_check >= policy.presence_timeout) {
-        listening_since = now;
-      }
-      last_check = now;
       const bool hello_due = now >= next_hello || hello_now;
       hello_now = false;
       const bool is_leaving = leaving;
@@ -419,9 +413,7 @@
         next_hello = now + policy.hello_interval;
         SendHellos(is_leaving, now);
       }
-      const LogStatus status = log->Status();
-      LogVoterChanges(status, now);
-      RepairMembership(status, now);
+      members->Check(now);
       SaveServers(now);
       lock.lock();
       changed.wait_for(lock, policy.check_interval,
@@ -498,63 +490,7 @@
     }
   }
 
-  MembershipView ViewOf(const LogStatus& status, SteadyTime now) {
-    std::lock_guard lock(mutex);
-    return {settings.node,    status.membership, status.caught_up,
-            peers.Contacts(), listening_since,   now};
-  }
-
-  // Without these lines a log that has lost a voter looks the same as a healthy
-  // one until the next loss stops it.
-  void LogVoterChanges(const LogStatus& status, SteadyTime now) {
-    // Right after a start the others have had no time for a hello.
-    if (now - started_at < policy.presence_timeout) {
-      return;
-    }
-    VoterHealth health = AssessVoters(ViewOf(status, now), policy);
-    if (health == logged_voters) {
-      return;
-    }
-    const int losses = ToleratedLosses(health);
-    const LogLevel level =
-        losses < 0 ? LogLevel::kError
-        : losses < static_cast<int>(settings.tolerated_losses)
-            ? LogLevel::kWarning
-            : LogLevel::kInfo;
-    telemetry::LogEvent(level, "voters_changed",
-                        {{"voters", std::to_string(health.voters.size())},
-                         {"present", std::to_string(CountPresent(health))},
-                         {"missing", MissingVoters(health)},
-                         {"learners", std::to_string(health.present_learners)},
-                         {"tolerated_losses", std::to_string(losses)},
-                         {"leader", status.leader.value}});
-    logged_voters = std::move(health);
-  }
-
-  void RepairMembership(const LogStatus& status, SteadyTime now) {
-    if (status.leader != settings.node || repair_pending) {
-      return;
-    }
-    const auto change = NextRepair(ViewOf(status, now), policy);
-    if (!change) {
-      return;
-    }
-    telemetry::LogEvent(
-        LogLevel::kInfo, "membership_repair",
-        {{"vm", change->node.value},
-         {"action",
-          change->action == consensus::MembershipAction::kRemove    ? "remove"
-          : change->action == consensus::MembershipAction::kPromote ? "promote"
-                                                                    : "add"},
-         {"storage_id", change->storage_id}});
-    repair_pending = true;
-    log->ChangeMembership(*change, [this](const SubmitResult& /*result*/) {
-      repair_pending = false;
-    });
-  }
-
-  // Handing over the vote before a shutdown.
-
+  // The leader then lets another VM take over the vote of this one.
   void AnnounceLeaving() {
     {
       std::lock_guard lock(mutex);
@@ -575,7 +511,6 @@
   bool stopping = false;
   bool leaving = false;
   bool hello_now = false;
-  SteadyTime listening_since = started_at;
   std::condition_variable changed;
 
   // Used on the log's thread only.
@@ -585,13 +520,11 @@
   // Guarded by `frame_mutex`. Frames are handled only while all components
   // exist.
   bool started = false;
-  std::atomic<bool> repair_pending = false;
   // Limits a hanging disk to blocking one worker.
   std::atomic<bool> saving_servers = false;
   std::atomic<uint64_t> saved_count = 0;
   // Used by the maintenance thread only.
   SteadyTime next_save;
-  VoterHealth logged_voters;
 
   telemetry::Metrics metrics;
   // Used on the I/O thread only.
@@ -602,6 +535,7 @@
   std::optional<peer::PeerSocket> socket;
   Registry registry;
   std::optional<ReplicatedLog> log;
+  std::optional<MemberMaintenance> members;
   std::optional<ControlClient> client;
   std::optional<transport::WorkerPool> workers;
   std::optional<transport::WebServer> server;
@@ -628,10 +562,8 @@
   std::mutex wait_mutex;
   std::condition_variable wait;
   std::unique_lock lock(wait_mutex);
-  std::optional<SteadyTime> promoted_at;
   while ((impl_->server->OpenConnections() > 0 ||
-          AwaitsSuccessor(impl_->ViewOf(impl_->log->Status(), BootTime()),
-                          impl_->policy, promoted_at)) &&
+          impl_->members->IsHandingOver(BootTime())) &&
          BootTime() < end) {
     wait.wait_for(lock, kStopCheck, [] { return false; });
   }
