--- a/tests/relay/relay_simulation.cc
+++ b/tests/relay/relay_simulation.cc
@@ -29,7 +29,7 @@
 constexpr Duration kPauseStep = std::chrono::milliseconds(5);
 
 struct Job {
-  std::function<void(ServerReply)> reply;
+  std::function<void(const ServerReply&)> reply;
 };
 
 struct Server {
@@ -198,10 +198,12 @@
         });
         return;
       }
-      server.waiting.push_back({[this, request, number](ServerReply reply) {
-        At(now_ + kDelay,
-           [this, request, number, reply] { Reply(request, number, reply); });
-      }});
+      server.waiting.push_back(
+          {[this, request, number](const ServerReply& reply) {
+            At(now_ + kDelay, [this, request, number, reply] {
+              Reply(request, number, reply);
+            });
+          }});
       Serve(server);
     });
   }
@@ -249,7 +251,7 @@
     reply.request_limit = LimitOf(server);
     reply.leaving = options_.leaving &&
                     options_.leaving(server.shard, server.index, now_ - kStart);
-    job.reply(std::move(reply));
+    job.reply(reply);
     Serve(server);
   }
 
