transport: check the length of a reply before its body is read

A server whose reply names a length of 1 TB ends the node that asked it, and a node is shared by all callers.

Cause: when header and body arrive together, the parser (Beast 1.74) sets the error for a length over the limit and goes on with the body: it reserves memory for the length, and reads and keeps all of the body. Until now that case was found after the body, from its size. The test sent the header by itself first, so that only some runs met the case.

Ruled out: replies without a length and chunked ones (their limits are checked as they are read); requests, whose header is read by itself already; the product's own interface (libs/http), which counts what it reads.

Change: the header of a reply is read by itself. Interim replies, framing and length are judged before the body is read. Framing is checked again at the end, since the fields of a trailer have joined the header by then.

Evidence: EndlessRepliesAreRefused also sends header and body together.

Conclusion: no length that a server names costs more than the limit of the route.

--- a/libs/transport/include/gooseberryrock/transport/server_connection.h
+++ b/libs/transport/include/gooseberryrock/transport/server_connection.h
@@ -71,8 +71,9 @@
 
  private:
   struct Impl;
-  void Read();
-  void OnRead(ReplyStatus status);
+  void ReadHeader();
+  void OnHeader();
+  void Finish(ReplyStatus status);
 
   std::unique_ptr<Impl> impl_;
 };
--- a/libs/transport/src/server_connection.cc
+++ b/libs/transport/src/server_connection.cc
@@ -36,11 +36,9 @@
          http::status_class::informational;
 }
 
-ReplyStatus StatusOf(const ErrorCode& ec, size_t body, size_t max_body) {
+ReplyStatus StatusOf(const ErrorCode& ec) {
   if (!ec) {
-    // Beast 1.74 accepts a response whose Content-Length exceeds the limit if
-    // header and body arrive together.
-    return body > max_body ? ReplyStatus::kMalformed : ReplyStatus::kComplete;
+    return ReplyStatus::kComplete;
   }
   const bool parse_error =
       ec.category() == http::make_error_code(http::error{}).category() &&
@@ -127,44 +125,72 @@
   impl_->on_reply = std::move(handler);
   impl_->max_body = max_body;
   impl_->interim_replies = 0;
-  Read();
+  ReadHeader();
 }
 
-void ServerConnection::Read() {
+// The header is read by itself: when header and body arrive together,
+// Beast 1.74 reserves memory for any Content-Length and reads the whole body,
+// whatever the limit.
+void ServerConnection::ReadHeader() {
   Impl& impl = *impl_;
   impl.parser.emplace();
   impl.parser->body_limit(impl.max_body);
   if (impl.request.method() == http::verb::head) {
     impl.parser->skip(true);
   }
-  http::async_read(
+  http::async_read_header(
       impl.socket, impl.buffer, *impl.parser,
       [self = shared_from_this()](const ErrorCode& ec, size_t) {
-        if (!self->impl_->closed) {
-          self->OnRead(StatusOf(ec, self->impl_->parser->get().body().size(),
-                                self->impl_->max_body));
+        if (self->impl_->closed) {
+          return;
+        }
+        if (ec) {
+          self->Finish(StatusOf(ec));
+        } else {
+          self->OnHeader();
         }
       });
 }
 
-void ServerConnection::OnRead(ReplyStatus status) {
+void ServerConnection::OnHeader() {
   Impl& impl = *impl_;
-  Reply reply;
-  reply.status = status;
-  if (status == ReplyStatus::kComplete && IsInterim(impl.parser->get())) {
+  const Response& header = impl.parser->get();
+  if (IsInterim(header)) {
     // No request asks for another protocol.
-    if (impl.parser->get().result() != http::status::switching_protocols &&
+    if (header.result() != http::status::switching_protocols &&
         ++impl.interim_replies <= kMaxInterimReplies) {
-      Read();
-      return;
+      ReadHeader();
+    } else {
+      Finish(ReplyStatus::kMalformed);
     }
-    reply.status = ReplyStatus::kMalformed;
+    return;
+  }
+  if (CheckFraming(header) != FramingProblem::kNone) {
+    Finish(ReplyStatus::kMalformed);
+    return;
   }
-  if (reply.status == ReplyStatus::kComplete &&
+  if (impl.parser->is_done()) {
+    Finish(ReplyStatus::kComplete);
+    return;
+  }
+  http::async_read(impl.socket, impl.buffer, *impl.parser,
+                   [self = shared_from_this()](const ErrorCode& ec, size_t) {
+                     if (!self->impl_->closed) {
+                       self->Finish(StatusOf(ec));
+                     }
+                   });
+}
+
+void ServerConnection::Finish(ReplyStatus status) {
+  Impl& impl = *impl_;
+  // The fields of a trailer are among those of the header now.
+  if (status == ReplyStatus::kComplete &&
       CheckFraming(impl.parser->get()) != FramingProblem::kNone) {
-    reply.status = ReplyStatus::kMalformed;
+    status = ReplyStatus::kMalformed;
   }
-  if (reply.status == ReplyStatus::kComplete) {
+  Reply reply;
+  reply.status = status;
+  if (status == ReplyStatus::kComplete) {
     // Bytes after the reply, or a request body that the peer has not read
     // completely, would be mistaken for part of the next exchange.
     reply.reusable =
--- a/tests/transport/framing_test.cc
+++ b/tests/transport/framing_test.cc
@@ -145,6 +145,8 @@
       {chunked, "1;x\"\r\na\r\n0\r\n\r\n", "400"},
       {chunked, "0\r\nno colon\r\n\r\n", "400"},
       {chunked, "0\r\nX : y\r\n\r\n", "400"},
+      {chunked, "0\r\nContent-Length: 5\r\n\r\n", "400"},
+      {chunked, "0\r\nTransfer-Encoding: chunked\r\n\r\n", "400"},
   };
   for (const RequestCase& it : cases) {
     for (const Pace pace : {Pace::kWhole, Pace::kSingleBytes}) {
@@ -180,6 +182,10 @@
       ok + "Content-Length: -3\r\n\r\nabc",
       ok + "Transfer-Encoding: chunked\r\n\r\n+3\r\nabc\r\n0\r\n\r\n",
       ok + "Transfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n0\r\n\r\n",
+      ok + "Transfer-Encoding: chunked\r\n\r\n0\r\nContent-Length: 3\r\n\r\n",
+      ok + "Transfer-Encoding: chunked\r\n\r\n"
+           "0\r\nTransfer-Encoding: chunked\r\n\r\n",
+      ok + "Transfer-Encoding: chunked\r\n\r\n0\r\nno colon\r\n\r\n",
   };
   IoThread thread;
   std::shared_ptr<ServerConnection> connection;
--- a/tests/transport/server_connection_test.cc
+++ b/tests/transport/server_connection_test.cc
@@ -117,6 +117,9 @@
   struct Case {
     std::string start;
     std::string repeated;
+    // Sends both in one call, so that the reader has bytes of the body when it
+    // parses the header.
+    bool together = false;
   };
   const std::string ok = "HTTP/1.1 200 OK\r\n";
   const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
@@ -129,6 +132,10 @@
                          {ok + "X: ", bytes},
                          {ok, "X: y\r\n"},
                          {ok + "Content-Length: 1000000000000\r\n\r\n", bytes},
+                         {ok + "Content-Length: 1000000000000\r\n\r\n", bytes,
+                          /*together=*/true},
+                         {ok + "Content-Length: 100000000\r\n\r\n", bytes,
+                          /*together=*/true},
                          {ok + "\r\n", bytes},
                          {chunked, "5\r\nabcde\r\n"},
                          {chunked + "ffffffffff\r\n", bytes},
@@ -144,7 +151,7 @@
     {
       RawServer server([&](RawSocket& socket, size_t) {
         socket.ReadUntil("\r\n\r\n", seconds(1));
-        if (socket.Send(it.start)) {
+        if (socket.Send(it.together ? it.start + block : it.start)) {
           while (sent < kMaxSent && socket.Send(block)) {
             sent += block.size();
           }
