transport: refuse fields that the parser cannot store

A caller can end any entry node with one request of 70 KB, and a server any node that asks it.

The limit of the header keeps longer ones out of headers at its default, but does not hold for trailers, and routes may name a higher one. The buffer had room for 128 KiB of trailer.

Ruled out: long request targets and reasons, which have no such limit; folded fields, for which the parser reports an error at 4 KiB; the product's own interface (libs/http), which does not use this parser for what it reads.

Weighed: catching the exception where handlers run. The connection that it belongs to isn't known there, and other exceptions would be hidden.

Change: the buffer of both sides has 64 KiB, in which no such field fits with the line before it. Requests over it are answered 431, replies are malformed. Routes that name a higher limit for headers are accepted as before, and 64 KiB apply.

Conclusion: neither side can end a node with a field.

--- a/libs/routes/include/gooseberryrock/routes/route_set.h
+++ b/libs/routes/include/gooseberryrock/routes/route_set.h
@@ -24,6 +24,7 @@
 
 // Limits on the size and duration of requests from callers.
 struct CallerLimits {
+  // Headers over 64 KiB are refused in any case.
   size_t header_bytes = size_t{16} << 10U;
   size_t body_bytes = size_t{256} << 10U;
   Duration header_timeout = std::chrono::seconds(3);
--- a/libs/transport/include/gooseberryrock/transport/web_server.h
+++ b/libs/transport/include/gooseberryrock/transport/web_server.h
@@ -18,6 +18,7 @@
 struct Endpoint;
 
 struct WebLimits {
+  // Headers over 64 KiB are refused in any case.
   size_t header_bytes = size_t{16} << 10U;
   size_t body_bytes = size_t{1} << 20U;
   // Time from the first byte of a request to the end of its header.
--- a/libs/transport/src/message_framing.h
+++ b/libs/transport/src/message_framing.h
@@ -1,15 +1,23 @@
-// Checks that the end of a message is certain. The parser accepts headers that
-// another reader of the same connection takes otherwise.
+// Limits on messages that are read, and a check that their end is certain. The
+// parser accepts headers that another reader of the same connection takes
+// otherwise.
 
 #ifndef GOOSEBERRYROCK_LIBS_TRANSPORT_SRC_MESSAGE_FRAMING_H_
 #define GOOSEBERRYROCK_LIBS_TRANSPORT_SRC_MESSAGE_FRAMING_H_
 
+#include <cstddef>
 #include <string_view>
 
 #include "gooseberryrock/transport/http_message.h"
 
 namespace gooseberryrock::transport {
 
+// Limit of what is parsed as a whole: a header, and in a chunked body a size
+// line or the trailer. A peer that never ends one would otherwise fill the
+// memory. Beast stores the length of a field in 16 bits and throws on a longer
+// one, which would end the process; no such field fits.
+constexpr size_t kMaxBufferedBytes = size_t{64} << 10U;
+
 enum class FramingProblem {
   kNone,
   // The length of the body is specified more than once.
--- a/libs/transport/src/server_connection.cc
+++ b/libs/transport/src/server_connection.cc
@@ -23,11 +23,6 @@
 
 namespace {
 
-// The buffer holds what is parsed as a whole: the header, and between the parts
-// of a chunked body the size line or the trailer. A peer that never ends one
-// would otherwise fill the memory until the attempt times out.
-constexpr size_t kMaxBufferedBytes = size_t{128} << 10U;
-
 // Interim replies that are skipped before the final one.
 constexpr int kMaxInterimReplies = 8;
 
--- a/libs/transport/src/web_session.cc
+++ b/libs/transport/src/web_session.cc
@@ -35,11 +35,6 @@
 constexpr size_t kMaxDiscardedBody = (size_t{4} << 20U) + (size_t{64} << 10U);
 constexpr size_t kMaxDiscardedBytes = size_t{256} << 10U;
 
-// Bytes that the buffer holds beyond the largest header. What is parsed as a
-// whole in a chunked body, its size lines and trailer, has to fit as well: a
-// caller that never ends one would otherwise fill the memory.
-constexpr size_t kBufferMargin = size_t{128} << 10U;
-
 http::status StatusOf(const ErrorCode& ec) {
   if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
     return http::status::request_header_fields_too_large;
@@ -89,7 +84,10 @@
 WebSession::WebSession(asio::ip::tcp::socket socket,
                        size_t thread,
                        std::shared_ptr<WebServerShared> shared)
-    : socket_(std::move(socket)), thread_(thread), shared_(std::move(shared)) {
+    : socket_(std::move(socket)),
+      thread_(thread),
+      shared_(std::move(shared)),
+      buffer_(kMaxBufferedBytes) {
   ++shared_->open_connections;
 }
 
@@ -133,7 +131,6 @@
   deadline_ = BootTime() + limits.header_timeout;
   parser_.emplace();
   parser_->header_limit(static_cast<uint32_t>(limits.header_bytes));
-  buffer_.max_size(limits.header_bytes + kBufferMargin);
   parser_->body_limit(limits.body_bytes);
   http::async_read_header(
       socket_, buffer_, *parser_,
--- a/tests/transport/framing_test.cc
+++ b/tests/transport/framing_test.cc
@@ -162,6 +162,39 @@
   EXPECT_EQ(requests_, 0);
 }
 
+// Guards against a long field, on which the parser throws: one request would
+// end the process. The limit of the header does not bound trailers, and may be
+// higher than what the parser can store.
+TEST(RequestFieldTest, LongFieldsAreRefused) {
+  IoThread thread;
+  std::atomic<int> requests = 0;
+  WebLimits limits;
+  limits.header_bytes = size_t{1} << 20U;
+  WebServer server({&thread}, Endpoint{"127.0.0.1", 0}, limits,
+                   [&](size_t, const std::shared_ptr<Exchange>& it) {
+                     ++requests;
+                     it->Respond(Response(boost::beast::http::status::ok, 11));
+                   });
+  for (const size_t size : {70000, 200000}) {
+    const std::string bytes(size, 'a');
+    for (const std::string& text :
+         {"GET /" + bytes + " HTTP/1.1\r\nHost: a\r\n\r\n",
+          "GET / HTTP/1.1\r\nHost: a\r\n" + bytes + ": y\r\n\r\n",
+          "GET / HTTP/1.1\r\nHost: a\r\nX: " + bytes + "\r\n\r\n",
+          "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "0\r\nX: " +
+              bytes + "\r\n\r\n"}) {
+      RawSocket socket(Connect(server.port()));
+      socket.Send(text);
+      EXPECT_EQ(socket.ReadUntil("never", seconds(4)).substr(0, 12),
+                "HTTP/1.1 431")
+          << text.substr(0, 80);
+    }
+  }
+  EXPECT_EQ(requests, 0);
+  thread.Stop();
+}
+
 // Guards against a reply whose end is not certain and that is taken as whole,
 // or whose rest becomes the reply to the next request.
 TEST(ReplyFramingTest, UncertainLengthIsMalformed) {
--- a/tests/transport/server_connection_test.cc
+++ b/tests/transport/server_connection_test.cc
@@ -167,6 +167,19 @@
   }
 }
 
+// Guards against a long field in a trailer, on which the parser throws.
+TEST_F(ServerConnectionTest, LongTrailersAreRefused) {
+  for (const size_t size : {1000, 70000, 300000}) {
+    EXPECT_EQ(CallServerThatSends(
+                  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  "0\r\nX: " +
+                  std::string(size, 'a') + "\r\n\r\n")
+                  .status,
+              size == 1000 ? ReplyStatus::kComplete : ReplyStatus::kMalformed)
+        << size;
+  }
+}
+
 // Guards against an interim reply that is taken as the reply, and against
 // interim replies without end.
 TEST_F(ServerConnectionTest, InterimRepliesAreSkipped) {
