tests: stop the I/O thread before the connection that it uses

ServerConnectionTest ended with "free(): corrupted unsorted chunks" in 4 of 8 series of 30 to 60 runs, and AddressSanitizer reports a use after free in 7 of 8 series of 1,000.

Cause: the fixture destroys its connection on the main thread while the I/O thread may still run the Close() that the test has posted. The product is not affected: its connections are used and destroyed on their own thread.

Change: the fixture stops the thread first, as the other fixtures of the folder do.

Conclusion: the failure was the test's own; none of its checks has changed.

--- a/tests/transport/server_connection_test.cc
+++ b/tests/transport/server_connection_test.cc
@@ -29,6 +29,9 @@
 
 class ServerConnectionTest : public testing::Test {
  protected:
+  // The connection is used on the thread until that has stopped.
+  ~ServerConnectionTest() override { thread_.Stop(); }
+
   // Returns the reply to one request on a new connection.
   Reply Call(const RawServer& server) {
     auto promise = std::make_shared<std::promise<Reply>>();
