scripts: find the headers of a linted file under CCACHE_BASEDIR too

Cause: lint.sh takes the headers of a file from ninja and looks for absolute paths. With CCACHE_BASEDIR, which test.sh sets, the compiler names them relative to build/, so that no list was found and each file counted as not part of the build.

Change: paths that start with ../ are taken as well.

After a change of route_set.h, 3 of the 4 files, those that include it, are linted again.

Conclusion: what is checked is unchanged; a warm run leaves out files that passed.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -25,15 +25,21 @@
 fi
 
 # One line for each object file: its source and the project files that the source
-# includes.
+# includes. With CCACHE_BASEDIR the compiler names them relative to build/.
 includes=$(mktemp)
 todo=$(mktemp)
 trap 'rm -f "$includes" "$todo"' EXIT
 ninja -C build -t deps | awk -v root="$ROOT/" '
   /^[^ ]/ { if (line != "") print line; line = "" }
   /^    / {
+    file = ""
     if (index($1, root) == 1) {
-      line = line (line == "" ? "" : " ") substr($1, length(root) + 1)
+      file = substr($1, length(root) + 1)
+    } else if (index($1, "../") == 1) {
+      file = substr($1, 4)
+    }
+    if (file != "") {
+      line = line (line == "" ? "" : " ") file
     }
   }
   END { if (line != "") print line }' | sort -u >"$includes"
