--- a/tests/platform/entry_codec_test.cc
+++ b/tests/platform/entry_codec_test.cc
@@ -2,8 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <chrono>
 #include <string>
+#include <vector>
 
 #include "gooseberryrock/entry/entry_codec.h"
 #include "gooseberryrock/platform/entry_codec.h"
@@ -151,5 +153,30 @@
       http::status::bad_gateway);
 }
 
+// Guards against a field of digests that is too long for the parser, which
+// throws on it, or for callers: a set of routes may name many shards, and a
+// server may send a long digest.
+TEST(EntryCodecTest, ManyDigestsAreDividedAmongFields) {
+  std::vector<std::string> digests(2000, std::string(60, 'd'));
+  digests.emplace_back(60000, 'e');
+  const Response response = Codec().encode_gathered({"", digests, 0, true});
+  std::string all;
+  size_t longest = 0;
+  for (const auto& it : response) {
+    if (it.name_string() == "X-Part-Stamps") {
+      all += (all.empty() ? "" : ", ") + it.value().to_string();
+      if (it.value().front() == 'd') {
+        longest = std::max(longest, it.value().size());
+      }
+    }
+  }
+  std::string expected;
+  for (const std::string& it : digests) {
+    expected += (expected.empty() ? "" : ", ") + it;
+  }
+  EXPECT_EQ(all, expected);
+  EXPECT_LE(longest, size_t{4200});
+}
+
 }  // namespace
 }  // namespace gooseberryrock::platform
