relay: take back unsent attempts where they are removed

Cause: each place that removes an attempt or ends a request had to remember to take an unsent attempt back from the server's limit; two loops gave up all attempts, and two places ended a gathered request that lacks shards with the same lines.

Change: Remove() takes back, DropAll() gives up all attempts, FinishIfTooFewShards() ends the request. Behaviour is unchanged: a reply only comes to an attempt that was sent, for which nothing is taken back.

Conclusion: a new way to remove an attempt can't leak its part of a limit.

--- a/libs/relay/src/request_machine.cc
+++ b/libs/relay/src/request_machine.cc
@@ -32,13 +32,29 @@
   return it == state.attempts.end() ? nullptr : &*it;
 }
 
-RequestAttempt Remove(RequestState& state, AttemptNumber number) {
+// An attempt that was not sent does not count towards the server's limit.
+void TakeBackUnsent(const RequestState& state,
+                    const RequestAttempt& attempt,
+                    SteadyTime now) {
+  if (attempt.sent) {
+    return;
+  }
+  if (PoolServer* server =
+          FindServer(*state.parts[attempt.part].pool, attempt.server)) {
+    TakeBackSend(server->request_limit, now);
+  }
+}
+
+RequestAttempt Remove(RequestState& state,
+                      AttemptNumber number,
+                      SteadyTime now) {
   auto it = std::find_if(
       state.attempts.begin(), state.attempts.end(),
       [number](const RequestAttempt& n) { return n.number == number; });
   RequestAttempt attempt = std::move(*it);
   state.attempts.erase(it);
   --state.parts[attempt.part].open_attempts;
+  TakeBackUnsent(state, attempt, now);
   return attempt;
 }
 
@@ -85,19 +101,6 @@
   return true;
 }
 
-// An attempt that was not sent does not count towards the server's limit.
-void TakeBackUnsent(const RequestState& state,
-                    const RequestAttempt& attempt,
-                    SteadyTime now) {
-  if (attempt.sent) {
-    return;
-  }
-  if (PoolServer* server =
-          FindServer(*state.parts[attempt.part].pool, attempt.server)) {
-    TakeBackSend(server->request_limit, now);
-  }
-}
-
 void FailPart(RequestState& state, RequestPart& part) {
   if (!part.failed && !part.answered) {
     part.failed = true;
@@ -105,16 +108,24 @@
   }
 }
 
-void Finish(RequestState& state,
-            Outcome outcome,
-            SteadyTime now,
-            RequestEffects& effects) {
+// Gives up all attempts of a request that ends.
+void DropAll(RequestState& state,
+             bool close,
+             SteadyTime now,
+             RequestEffects& effects) {
   state.finished = true;
   for (const RequestAttempt& it : state.attempts) {
     TakeBackUnsent(state, it, now);
-    effects.drop.push_back({it.number, /*close=*/false});
+    effects.drop.push_back({it.number, close});
   }
   state.attempts.clear();
+}
+
+void Finish(RequestState& state,
+            Outcome outcome,
+            SteadyTime now,
+            RequestEffects& effects) {
+  DropAll(state, /*close=*/false, now, effects);
   effects.send.clear();
   effects.next_timer.reset();
   effects.outcome = std::move(outcome);
@@ -136,6 +147,21 @@
   return outcome;
 }
 
+// Finishes a gathered request that lacks too many shards. Returns whether it
+// did.
+bool FinishIfTooFewShards(RequestState& state,
+                          RelayContext context,
+                          SteadyTime now,
+                          RequestEffects& effects) {
+  if (state.parts.size() - state.parts_failed >= state.min_parts) {
+    return false;
+  }
+  Finish(state,
+         FailureOutcome(state, RefusalReason::kShardsUnavailable, context, now),
+         now, effects);
+  return true;
+}
+
 // Finishes the request if no further reply is needed, or sets the next timer.
 void FinishOrSetTimer(RequestState& state,
                       RelayContext context,
@@ -152,11 +178,7 @@
       Finish(state, MakeGatheredOutcome(state, !all_ended), now, effects);
       return;
     }
-    if (n - state.parts_failed < state.min_parts) {
-      Finish(state,
-             FailureOutcome(state, RefusalReason::kShardsUnavailable, context,
-                            now),
-             now, effects);
+    if (FinishIfTooFewShards(state, context, now, effects)) {
       return;
     }
   } else if (all_ended) {
@@ -215,7 +237,7 @@
   if (!attempt.sent) {
     if (AddAttempt(state, index, AttemptCause::kReroute,
                    ServerFilter::kHealthyServers, context, now, effects)) {
-      TakeBackUnsent(state, Remove(state, number), now);
+      Remove(state, number, now);
       effects.drop.push_back({number, /*close=*/false});
     }
     return;
@@ -327,11 +349,7 @@
   }
   if (state.IsGathered()) {
     SkipShards(state, context, now);
-    if (state.parts.size() - state.parts_failed < state.min_parts) {
-      Finish(state,
-             FailureOutcome(state, RefusalReason::kShardsUnavailable, context,
-                            now),
-             now, effects);
+    if (FinishIfTooFewShards(state, context, now, effects)) {
       return effects;
     }
     if (const auto wait = OverloadRetryDelay(state, context, now)) {
@@ -385,7 +403,7 @@
   if (Find(state, number) == nullptr) {
     return effects;
   }
-  const RequestAttempt attempt = Remove(state, number);
+  const RequestAttempt attempt = Remove(state, number, now);
   RequestPart& part = state.parts[attempt.part];
   if (part.answered) {
     return effects;
@@ -402,7 +420,7 @@
     for (size_t i = state.attempts.size(); i-- > 0;) {
       if (state.attempts[i].part == attempt.part) {
         effects.drop.push_back({state.attempts[i].number, /*close=*/false});
-        TakeBackUnsent(state, Remove(state, state.attempts[i].number), now);
+        Remove(state, state.attempts[i].number, now);
       }
     }
   } else {
@@ -427,8 +445,7 @@
   if (Find(state, number) == nullptr) {
     return effects;
   }
-  const RequestAttempt attempt = Remove(state, number);
-  TakeBackUnsent(state, attempt, now);
+  const RequestAttempt attempt = Remove(state, number, now);
   if (attempt.sent) {
     state.connection_lost = true;
   }
@@ -474,12 +491,7 @@
   if (state.finished) {
     return effects;
   }
-  state.finished = true;
-  for (const RequestAttempt& it : state.attempts) {
-    TakeBackUnsent(state, it, now);
-    effects.drop.push_back({it.number, /*close=*/state.route->idempotent});
-  }
-  state.attempts.clear();
+  DropAll(state, /*close=*/state.route->idempotent, now, effects);
   return effects;
 }
 
