control: make the view of the membership once a check

Cause: each check copied the membership and the contacts twice, for the log line and for the repair, which could also see different contacts.

Change: Check() makes the view, and both use it. Behaviour is unchanged.

Figures: control_test and control_second_loss_test pass, as before.

Conclusion: what is logged is what the repair saw.

--- a/libs/control/src/member_maintenance.cc
+++ b/libs/control/src/member_maintenance.cc
@@ -54,8 +54,9 @@
   }
   last_check_ = now;
   const LogStatus status = log_.Status();
-  LogVoterChanges(status, now);
-  Repair(status, now);
+  const MembershipView view = ViewOf(status, now);
+  LogVoterChanges(view, status.leader);
+  Repair(view, status.leader);
 }
 
 VoterHealth MemberMaintenance::Assess(SteadyTime now) const {
@@ -79,13 +80,13 @@
 
 // Without these lines a log that has lost a voter looks the same as a healthy
 // one until the next loss stops it.
-void MemberMaintenance::LogVoterChanges(const LogStatus& status,
-                                        SteadyTime now) {
+void MemberMaintenance::LogVoterChanges(const MembershipView& view,
+                                        const NodeId& leader) {
   // Right after a start the others have had no time for a hello.
-  if (now - started_at_ < policy_.presence_timeout) {
+  if (view.now - started_at_ < policy_.presence_timeout) {
     return;
   }
-  VoterHealth health = AssessVoters(ViewOf(status, now), policy_);
+  VoterHealth health = AssessVoters(view, policy_);
   if (health == logged_voters_) {
     return;
   }
@@ -100,15 +101,16 @@
                        {"missing", MissingVoters(health)},
                        {"learners", std::to_string(health.present_learners)},
                        {"tolerated_losses", std::to_string(losses)},
-                       {"leader", status.leader.value}});
+                       {"leader", leader.value}});
   logged_voters_ = std::move(health);
 }
 
-void MemberMaintenance::Repair(const LogStatus& status, SteadyTime now) {
-  if (status.leader != self_ || repair_pending_) {
+void MemberMaintenance::Repair(const MembershipView& view,
+                               const NodeId& leader) {
+  if (leader != self_ || repair_pending_) {
     return;
   }
-  const auto change = NextRepair(ViewOf(status, now), policy_);
+  const auto change = NextRepair(view, policy_);
   if (!change) {
     return;
   }
--- a/libs/control/src/member_maintenance.h
+++ b/libs/control/src/member_maintenance.h
@@ -44,8 +44,8 @@
 
  private:
   MembershipView ViewOf(const LogStatus& status, SteadyTime now) const;
-  void LogVoterChanges(const LogStatus& status, SteadyTime now);
-  void Repair(const LogStatus& status, SteadyTime now);
+  void LogVoterChanges(const MembershipView& view, const NodeId& leader);
+  void Repair(const MembershipView& view, const NodeId& leader);
 
   const NodeId self_;
   const uint32_t tolerated_losses_;
