telemetry: count the growth of a total in one place

Cause: three nodes had the same three lines that add the requests refused as malformed since the last time to a counter.

Change: IncrementTo() does so. Behaviour is unchanged.

Conclusion: the next total needs one line.

--- a/libs/control/src/control_node.cc
+++ b/libs/control/src/control_node.cc
@@ -272,10 +272,8 @@
                static_cast<double>(routes.version));
     }
     const peer::PeerStats stats = socket->Stats();
-    const uint64_t malformed = server->MalformedRequests();
-    Increment(metrics, telemetry::Counter::kBadRequests,
-              malformed - counted_malformed);
-    counted_malformed = malformed;
+    IncrementTo(metrics, telemetry::Counter::kBadRequests, counted_malformed,
+                server->MalformedRequests());
     monitoring::CountPeerFrames(metrics, counted_frames, stats);
     counted_frames = stats;
   }
--- a/libs/entry/src/entry_node.cc
+++ b/libs/entry/src/entry_node.cc
@@ -119,10 +119,8 @@
                    .count());
     }
     SetGauge(metrics, Gauge::kReady, IsReady() ? 1 : 0);
-    const uint64_t malformed = callers->MalformedRequests();
-    Increment(metrics, telemetry::Counter::kBadRequests,
-              malformed - counted_malformed);
-    counted_malformed = malformed;
+    IncrementTo(metrics, telemetry::Counter::kBadRequests, counted_malformed,
+                callers->MalformedRequests());
     monitoring::CountPeerFrames(metrics, reported_frames, status.frames);
     reported_frames = status.frames;
   }
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -336,10 +336,8 @@
     monitoring::CountPeerFrames(metrics, reported_stats, stats);
     reported_stats = stats;
     if (server) {
-      const uint64_t malformed = server->MalformedRequests();
-      Increment(metrics, telemetry::Counter::kBadRequests,
-                malformed - counted_malformed);
-      counted_malformed = malformed;
+      telemetry::IncrementTo(metrics, telemetry::Counter::kBadRequests,
+                             counted_malformed, server->MalformedRequests());
     }
   }
 
--- a/libs/telemetry/include/gooseberryrock/telemetry/metrics.h
+++ b/libs/telemetry/include/gooseberryrock/telemetry/metrics.h
@@ -60,6 +60,13 @@
 
 void Increment(Metrics& metrics, Counter counter, uint64_t n = 1);
 
+// Adds the growth of a total that is kept elsewhere. `counted` is the part that
+// was added before.
+void IncrementTo(Metrics& metrics,
+                 Counter counter,
+                 uint64_t& counted,
+                 uint64_t total);
+
 void SetGauge(Metrics& metrics, Gauge gauge, double value);
 
 // Returns the page in the text exposition format, version 0.0.4, to be served
--- a/libs/telemetry/src/metrics.cc
+++ b/libs/telemetry/src/metrics.cc
@@ -249,6 +249,14 @@
   metrics.state->counters.at(static_cast<size_t>(counter)) += n;
 }
 
+void IncrementTo(Metrics& metrics,
+                 Counter counter,
+                 uint64_t& counted,
+                 uint64_t total) {
+  Increment(metrics, counter, total - counted);
+  counted = total;
+}
+
 void SetGauge(Metrics& metrics, Gauge gauge, double value) {
   metrics.state->gauges.at(static_cast<size_t>(gauge)) = value;
 }
