--- a/tests/transport/framing_test.cc
+++ b/tests/transport/framing_test.cc
@@ -8,7 +8,6 @@
 #include <cerrno>
 #include <chrono>
 #include <cstdlib>
-#include <future>
 #include <iostream>
 #include <memory>
 #include <mutex>
@@ -22,6 +21,7 @@
 #include "gooseberryrock/transport/server_connection.h"
 #include "gooseberryrock/transport/web_server.h"
 #include "raw_socket.h"
+#include "server_caller.h"
 #include "strict_reader.h"
 
 namespace gooseberryrock::transport {
@@ -217,25 +217,14 @@
            "0\r\nTransfer-Encoding: chunked\r\n\r\n",
       ok + "Transfer-Encoding: chunked\r\n\r\n0\r\nno colon\r\n\r\n",
   };
-  IoThread thread;
-  std::shared_ptr<ServerConnection> connection;
+  ServerCaller caller;
   for (const std::string& text : replies) {
     for (const Pace pace : {Pace::kWhole, Pace::kSingleBytes}) {
       RawServer server([&](RawSocket& socket, size_t) {
         socket.ReadUntil("\r\n\r\n", seconds(1));
         SendAt(socket, text, pace);
       });
-      std::promise<Reply> promise;
-      thread.Post([&] {
-        connection = std::make_shared<ServerConnection>(thread.context());
-        connection->Connect(
-            {"127.0.0.1", server.port()}, seconds(1), [&](bool /*connected*/) {
-              connection->Send(
-                  Request(boost::beast::http::verb::get, "/", 11), 1000,
-                  [&promise](Reply it) { promise.set_value(std::move(it)); });
-            });
-      });
-      const Reply reply = promise.get_future().get();
+      const Reply reply = caller.Call(server.port(), /*max_body=*/1000);
       EXPECT_EQ(reply.status, ReplyStatus::kMalformed) << text;
       EXPECT_FALSE(reply.reusable) << text;
     }
--- a/tests/transport/reply_fuzz_test.cc
+++ b/tests/transport/reply_fuzz_test.cc
@@ -6,9 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <cstdlib>
-#include <future>
 #include <iostream>
-#include <memory>
 #include <optional>
 #include <random>
 #include <string>
@@ -16,10 +14,9 @@
 #include <utility>
 #include <vector>
 
-#include "gooseberryrock/transport/endpoint.h"
-#include "gooseberryrock/transport/io_thread.h"
 #include "gooseberryrock/transport/server_connection.h"
 #include "raw_socket.h"
+#include "server_caller.h"
 #include "strict_reader.h"
 
 namespace gooseberryrock::transport {
@@ -111,8 +108,7 @@
   const char* runs = std::getenv("GOOSEBERRYROCK_FUZZ_RUNS");
   const int n = runs == nullptr ? 1000 : std::stoi(runs);
   Random random(20261205);
-  IoThread thread;
-  std::shared_ptr<ServerConnection> connection;
+  ServerCaller caller;
   int complete = 0;
   int faulty = 0;
   for (int i = 0; i < n; ++i) {
@@ -130,20 +126,7 @@
       }
       socket.Send(rest);
     });
-    std::promise<Reply> promise;
-    auto future = promise.get_future();
-    thread.Post([&] {
-      connection = std::make_shared<ServerConnection>(thread.context());
-      connection->Connect(
-          {"127.0.0.1", server.port()}, seconds(1), [&](bool connected) {
-            ASSERT_TRUE(connected);
-            connection->Send(
-                Request(boost::beast::http::verb::get, "/", 11), kMaxBody,
-                [&](Reply it) { promise.set_value(std::move(it)); });
-          });
-    });
-    ASSERT_EQ(future.wait_for(seconds(5)), std::future_status::ready) << text;
-    const Reply reply = future.get();
+    const Reply reply = caller.Call(server.port(), kMaxBody);
     StrictReader strict{text};
     const std::optional<std::string> body = strict.TakeReply();
     faulty += strict.faulty ? 1 : 0;
@@ -154,13 +137,12 @@
       EXPECT_LE(body->size(), kMaxBody);
     }
     // Ends the sending of the rest.
-    thread.Post([&connection] { connection->Close(); });
+    caller.Close();
   }
   EXPECT_GT(complete, n / 10);
   EXPECT_GT(faulty, n / 10);
   std::cout << n << " replies, " << complete << " complete, " << faulty
             << " with a fault\n";
-  thread.Stop();
 }
 
 }  // namespace
--- /dev/null
+++ b/tests/transport/server_caller.h
@@ -0,0 +1,38 @@
+// Calls servers through connections of the transport library.
+
+#ifndef GOOSEBERRYROCK_TESTS_TRANSPORT_SERVER_CALLER_H_
+#define GOOSEBERRYROCK_TESTS_TRANSPORT_SERVER_CALLER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+
+#include "gooseberryrock/transport/io_thread.h"
+#include "gooseberryrock/transport/server_connection.h"
+
+namespace gooseberryrock::transport {
+
+class ServerCaller {
+ public:
+  ServerCaller() = default;
+  ServerCaller(const ServerCaller&) = delete;
+  ServerCaller& operator=(const ServerCaller&) = delete;
+  ~ServerCaller();
+
+  // Returns the reply to one GET request on a new connection to 127.0.0.1. The
+  // test fails if it does not arrive in time.
+  Reply Call(uint16_t port, size_t max_body);
+
+  // Closes the connection of the last call.
+  void Close();
+
+ private:
+  // The connection is used on the thread until that has stopped, and uses its
+  // I/O context until it is destroyed.
+  IoThread thread_;
+  std::shared_ptr<ServerConnection> connection_;
+};
+
+}  // namespace gooseberryrock::transport
+
+#endif  // GOOSEBERRYROCK_TESTS_TRANSPORT_SERVER_CALLER_H_
--- a/tests/transport/server_connection_test.cc
+++ b/tests/transport/server_connection_test.cc
@@ -6,15 +6,12 @@
 
 #include <atomic>
 #include <chrono>
-#include <future>
-#include <memory>
 #include <string>
 #include <vector>
 
-#include "gooseberryrock/transport/endpoint.h"
-#include "gooseberryrock/transport/io_thread.h"
 #include "gooseberryrock/transport/server_connection.h"
 #include "raw_socket.h"
+#include "server_caller.h"
 
 namespace gooseberryrock::transport {
 namespace {
@@ -29,27 +26,9 @@
 
 class ServerConnectionTest : public testing::Test {
  protected:
-  // The connection is used on the thread until that has stopped.
-  ~ServerConnectionTest() override { thread_.Stop(); }
-
   // Returns the reply to one request on a new connection.
   Reply Call(const RawServer& server) {
-    auto promise = std::make_shared<std::promise<Reply>>();
-    auto future = promise->get_future();
-    thread_.Post([this, &server, promise] {
-      connection_ = std::make_shared<ServerConnection>(thread_.context());
-      connection_->Connect(
-          {"127.0.0.1", server.port()}, seconds(1),
-          [this, promise](bool connected) {
-            ASSERT_TRUE(connected);
-            Request request(boost::beast::http::verb::get, "/", 11);
-            connection_->Send(
-                std::move(request), kMaxBody,
-                [promise](Reply it) { promise->set_value(std::move(it)); });
-          });
-    });
-    EXPECT_EQ(future.wait_for(seconds(3)), std::future_status::ready);
-    return future.get();
+    return caller_.Call(server.port(), kMaxBody);
   }
 
   Reply CallServerThatSends(const std::string& text) {
@@ -61,10 +40,7 @@
     return Call(server);
   }
 
-  // Declared first so that it outlives the connection, which uses its I/O
-  // context.
-  IoThread thread_;
-  std::shared_ptr<ServerConnection> connection_;
+  ServerCaller caller_;
 };
 
 // Guards against treating a truncated reply as complete.
@@ -164,7 +140,7 @@
       const Reply reply = Call(server);
       EXPECT_EQ(reply.status, ReplyStatus::kMalformed)
           << it.start << " / " << it.repeated.substr(0, 30);
-      thread_.Post([this] { connection_->Close(); });
+      caller_.Close();
     }
     EXPECT_LT(sent, kMaxSent) << it.start << it.repeated.substr(0, 30);
   }
