--- a/tests/control/member_repair_test.cc
+++ b/tests/control/member_repair_test.cc
@@ -52,6 +52,15 @@
     }
   }
 
+  // Expects the next change, and applies it.
+  void ExpectNext(MembershipAction action, const std::string& node) {
+    const auto change = Next();
+    ASSERT_TRUE(change);
+    EXPECT_EQ(change->action, action);
+    EXPECT_EQ(change->node.value, node);
+    Apply(*change);
+  }
+
   const RepairPolicy policy_ = MakeRepairPolicy(1, seconds(4));
   Membership membership_;
   std::map<NodeId, VmContact> contacts_;
@@ -68,16 +77,9 @@
 // operator intervenes: the loss of another VM would then stop the log.
 TEST_F(MemberRepairTest, EmptyDiskBecomesAVoterAgain) {
   contacts_[{"c"}].storage_id = "new";
-  const MembershipAction expected[] = {MembershipAction::kRemove,
-                                       MembershipAction::kAddLearner,
-                                       MembershipAction::kPromote};
-  for (const MembershipAction it : expected) {
-    const auto change = Next();
-    ASSERT_TRUE(change);
-    EXPECT_EQ(change->action, it);
-    EXPECT_EQ(change->node.value, "c");
-    Apply(*change);
-  }
+  ExpectNext(MembershipAction::kRemove, "c");
+  ExpectNext(MembershipAction::kAddLearner, "c");
+  ExpectNext(MembershipAction::kPromote, "c");
   EXPECT_FALSE(Next());
   EXPECT_EQ(membership_.members.at({"c"}).storage_id, "new");
 }
@@ -99,21 +101,9 @@
 TEST_F(MemberRepairTest, NewVmReplacesALostOne) {
   contacts_[{"c"}].last_contact = kNow - seconds(20);
   contacts_[{"d"}] = {"disk-d", kNow};
-  auto change = Next();
-  ASSERT_TRUE(change);
-  EXPECT_EQ(change->action, MembershipAction::kAddLearner);
-  EXPECT_EQ(change->node.value, "d");
-  Apply(*change);
-  change = Next();
-  ASSERT_TRUE(change);
-  EXPECT_EQ(change->action, MembershipAction::kPromote);
-  EXPECT_EQ(change->node.value, "d");
-  Apply(*change);
-  change = Next();
-  ASSERT_TRUE(change);
-  EXPECT_EQ(change->action, MembershipAction::kRemove);
-  EXPECT_EQ(change->node.value, "c");
-  Apply(*change);
+  ExpectNext(MembershipAction::kAddLearner, "d");
+  ExpectNext(MembershipAction::kPromote, "d");
+  ExpectNext(MembershipAction::kRemove, "c");
   EXPECT_FALSE(Next());
 }
 
@@ -157,15 +147,8 @@
   EXPECT_FALSE(Next());
   membership_.members[{"d"}] = {"disk-d", "d", false};
   contacts_[{"d"}] = {"disk-d", kNow};
-  auto change = Next();
-  ASSERT_TRUE(change);
-  EXPECT_EQ(change->action, MembershipAction::kPromote);
-  Apply(*change);
-  change = Next();
-  ASSERT_TRUE(change);
-  EXPECT_EQ(change->action, MembershipAction::kRemove);
-  EXPECT_EQ(change->node.value, "c");
-  Apply(*change);
+  ExpectNext(MembershipAction::kPromote, "d");
+  ExpectNext(MembershipAction::kRemove, "c");
   EXPECT_FALSE(Next());
 }
 
