control: give every call of the replicated log an outcome

Cause: when the storage failed while the log handled a batch of events, the later events of the batch were dropped with their handlers, and so were events queued at a stop. A caller waited for its timeout; the repair of the membership, which has one change at a time, stopped until the process was restarted. Ruled out by reading: acknowledgements that are sent before they are synced, a torn record that is not truncated, a stored vote that is lost. Change: events whose handlers were not called are rejected as not run. The files of the log can be replaced by tests.

--- a/libs/control/include/gooseberryrock/control/replicated_log.h
+++ b/libs/control/include/gooseberryrock/control/replicated_log.h
@@ -15,6 +15,7 @@
 #include "gooseberryrock/control/log_status.h"
 #include "gooseberryrock/control/state_machine.h"
 #include "gooseberryrock/control/submit_result.h"
+#include "gooseberryrock/storage/file_operations.h"
 
 namespace gooseberryrock::control {
 
@@ -27,6 +28,10 @@
   // a VM that joins an existing log.
   std::map<NodeId, std::string> initial_members;
   consensus::ConsensusConfig config;
+  // Opens the files of the data folder, at the start and again after a failure
+  // of the storage. Replaced by tests.
+  std::function<storage::FileOperations()> open_files =
+      storage::PosixFileOperations;
 };
 
 class ReplicatedLog {
@@ -41,7 +46,8 @@
                 MessageSender send);
   ReplicatedLog(const ReplicatedLog&) = delete;
   ReplicatedLog& operator=(const ReplicatedLog&) = delete;
-  // Completes pending requests with kUnknown.
+  // Completes pending requests with kUnknown, and those that were not handled
+  // yet with kNotRun.
   ~ReplicatedLog();
 
   // All functions are thread-safe. Handlers are called exactly once, on the
--- a/libs/control/src/replicated_log.cc
+++ b/libs/control/src/replicated_log.cc
@@ -114,7 +114,7 @@
         machine(std::move(state_machine)),
         send(std::move(sender)),
         random(std::random_device{}()),
-        files(storage::PosixFileOperations()),
+        files(options.open_files()),
         identity(storage::LoadOrCreateIdentity(files,
                                                options.data_folder,
                                                options.cluster,
@@ -135,7 +135,7 @@
 
   // Loads the state from the data folder. Throws StorageError.
   void Open() {
-    store.emplace(storage::PosixFileOperations(), options.data_folder);
+    store.emplace(options.open_files(), options.data_folder);
     const auto initial =
         options.initial_members.empty()
             ? consensus::Membership()
@@ -180,13 +180,25 @@
     ApplyStored();
     while (auto batch = NextBatch()) {
       try {
-        HandleBatch(std::move(*batch));
+        HandleBatch(*batch);
       } catch (const storage::StorageError& e) {
         FailStorage(e);
+        RejectAll(*batch);
       }
       PublishStatus();
     }
     CompletePending();
+    RejectWaiting();
+  }
+
+  // Events that arrived after the last batch.
+  void RejectWaiting() {
+    std::vector<Event> waiting;
+    {
+      std::lock_guard lock(mutex);
+      waiting = std::exchange(events, {});
+    }
+    RejectAll(waiting);
   }
 
   // Waits for events or the next tick. Returns nullopt when the log stops.
@@ -204,11 +216,10 @@
     return std::exchange(events, {});
   }
 
-  void HandleBatch(std::vector<Event> batch) {
+  // Takes the handlers of the events that it has handled.
+  void HandleBatch(std::vector<Event>& batch) {
     if (storage_failed) {
-      for (Event& event : batch) {
-        RejectEvent(event);
-      }
+      RejectAll(batch);
       if (Now() >= reopen_at) {
         reopen_at = Now() + kReopenInterval;
         Open();
@@ -222,7 +233,8 @@
     std::vector<consensus::Proposal> proposals;
     for (Event& event : batch) {
       if (auto* submit = std::get_if<SubmitEvent>(&event)) {
-        const ProposalId id = RegisterPending(std::move(submit->done));
+        const ProposalId id =
+            RegisterPending(std::exchange(submit->done, nullptr));
         proposals.push_back({id, std::move(submit->payload)});
       } else {
         std::visit([this](auto& it) { Handle(it); }, event);
@@ -243,7 +255,7 @@
   void Handle(SubmitEvent& /*event*/) {}
 
   void Handle(MembershipEvent& event) {
-    event.change.id = RegisterPending(std::move(event.done));
+    event.change.id = RegisterPending(std::exchange(event.done, nullptr));
     ExecuteEffects(consensus::ChangeMembership(state, event.change, Now()));
   }
 
@@ -257,7 +269,7 @@
       result.status = SubmitStatus::kDone;
       result.result = std::move(data);
     }
-    event.done(std::move(result));
+    std::exchange(event.done, nullptr)(std::move(result));
   }
 
   void Handle(MessageEvent& event) {
@@ -276,13 +288,26 @@
     ExecuteEffects(consensus::TransferLeadership(state, Now()));
   }
 
-  static void RejectEvent(Event& event) {
+  // Returns the handler of a call that has no outcome yet.
+  static DoneHandler TakeHandler(Event& event) {
     if (auto* submit = std::get_if<SubmitEvent>(&event)) {
-      submit->done({});
-    } else if (auto* change = std::get_if<MembershipEvent>(&event)) {
-      change->done({});
-    } else if (auto* read = std::get_if<ReadEvent>(&event)) {
-      read->done({});
+      return std::exchange(submit->done, nullptr);
+    }
+    if (auto* change = std::get_if<MembershipEvent>(&event)) {
+      return std::exchange(change->done, nullptr);
+    }
+    if (auto* read = std::get_if<ReadEvent>(&event)) {
+      return std::exchange(read->done, nullptr);
+    }
+    return nullptr;
+  }
+
+  // Ends the calls of a batch that were not handled, as not run.
+  static void RejectAll(std::vector<Event>& batch) {
+    for (Event& event : batch) {
+      if (const DoneHandler done = TakeHandler(event)) {
+        done({});
+      }
     }
   }
 
