transport: interim responses, and no request from a connection that has ended

Cause: a node that gathers for another one has to say that it has begun, so that a frozen node is told from a slow one without sending its work twice. A request that is read together with the end of its connection, after a suspension or a cut, was run although its sender had given it up. Change: Exchange::Acknowledge() sends an interim response, Send() reports those that arrive, and Dispatch() looks for the end of the connection first.

--- a/libs/transport/include/gooseberryrock/transport/exchange.h
+++ b/libs/transport/include/gooseberryrock/transport/exchange.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <string_view>
 
 #include "gooseberryrock/base/time.h"
 #include "gooseberryrock/transport/http_message.h"
@@ -32,6 +33,12 @@
   // called at most once. Sets the Content-Length and Connection fields.
   void Respond(Response response);
 
+  // Tells the caller, before the response, that the request is being processed,
+  // in an interim response with `fields`, each of which ends with CRLF. The
+  // caller must expect it. Does nothing if the caller has disconnected or does
+  // not read.
+  void Acknowledge(std::string_view fields = {});
+
   // Whether the caller closed the connection before the response.
   bool IsCallerDisconnected() const;
 
--- a/libs/transport/include/gooseberryrock/transport/server_connection.h
+++ b/libs/transport/include/gooseberryrock/transport/server_connection.h
@@ -43,6 +43,7 @@
  public:
   using ConnectHandler = std::function<void(bool connected)>;
   using ReplyHandler = std::function<void(Reply)>;
+  using InterimHandler = std::function<void(const Response& header)>;
 
   explicit ServerConnection(boost::asio::io_context& context);
   ServerConnection(const ServerConnection&) = delete;
@@ -56,8 +57,11 @@
 
   // Sends `request` and calls `handler` once with the final reply. Replies
   // larger than `max_body` are treated as malformed, and so are too many
-  // interim ones.
-  void Send(Request request, size_t max_body, ReplyHandler handler);
+  // interim ones. Calls `on_interim`, if set, for each interim reply before it.
+  void Send(Request request,
+            size_t max_body,
+            ReplyHandler handler,
+            InterimHandler on_interim = nullptr);
 
   // Reads the next reply after one that belongs to another request.
   void ReadNextReply(size_t max_body, ReplyHandler handler);
--- a/libs/transport/src/server_connection.cc
+++ b/libs/transport/src/server_connection.cc
@@ -57,6 +57,7 @@
   // Interim replies before the current one.
   int interim_replies = 0;
   ReplyHandler on_reply;
+  InterimHandler on_interim;
   // Incremented by each Send(), to ignore the result of an earlier WatchIdle().
   uint64_t send_count = 0;
   bool closed = false;
@@ -100,9 +101,11 @@
 
 void ServerConnection::Send(Request request,
                             size_t max_body,
-                            ReplyHandler handler) {
+                            ReplyHandler handler,
+                            InterimHandler on_interim) {
   Impl& impl = *impl_;
   ++impl.send_count;
+  impl.on_interim = std::move(on_interim);
   impl.request = std::move(request);
   impl.writing = true;
   auto self = shared_from_this();
@@ -154,7 +157,13 @@
     // No request asks for another protocol.
     if (header.result() != http::status::switching_protocols &&
         ++impl.interim_replies <= kMaxInterimReplies) {
-      ReadHeader();
+      // A copy, because the handler may close the connection.
+      if (const InterimHandler on_interim = impl.on_interim) {
+        on_interim(header);
+      }
+      if (!impl.closed) {
+        ReadHeader();
+      }
     } else {
       Finish(ReplyStatus::kMalformed);
     }
@@ -214,6 +223,7 @@
   }
   impl_->closed = true;
   impl_->on_reply = nullptr;
+  impl_->on_interim = nullptr;
   impl_->connect_timer.cancel();
   ErrorCode ignored;
   impl_->socket.close(ignored);
--- a/libs/transport/src/web_session.cc
+++ b/libs/transport/src/web_session.cc
@@ -35,6 +35,8 @@
 constexpr size_t kMaxDiscardedBody = (size_t{4} << 20U) + (size_t{64} << 10U);
 constexpr size_t kMaxDiscardedBytes = size_t{256} << 10U;
 
+constexpr char kInterimStatusLine[] = "HTTP/1.1 102 Processing\r\n";
+
 http::status StatusOf(const ErrorCode& ec) {
   if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
     return http::status::request_header_fields_too_large;
@@ -73,6 +75,12 @@
   }
 }
 
+void Exchange::Acknowledge(std::string_view fields) {
+  if (session_) {
+    session_->Acknowledge(fields);
+  }
+}
+
 bool Exchange::IsCallerDisconnected() const {
   return !session_ || session_->IsClosed();
 }
@@ -189,9 +197,13 @@
                                              parser_->release(), BootTime());
   exchange_ = exchange;
   if (buffer_.size() == 0) {
-    WaitForData();
+    // A request may arrive together with the end of its connection, for example
+    // when a partition ends. It is not processed then.
+    CheckCallerDisconnected();
+  }
+  if (state_ != State::kClosed) {
+    shared_->handler(thread_, std::move(exchange));
   }
-  shared_->handler(thread_, std::move(exchange));
 }
 
 void WebSession::CheckCallerDisconnected() {
@@ -230,6 +242,21 @@
   Respond(std::move(response), /*caller_keeps_alive=*/false);
 }
 
+// Sent without waiting: the previous response was written completely, so that
+// the socket usually has room for it.
+void WebSession::Acknowledge(std::string_view fields) {
+  if (state_ != State::kBusy) {
+    return;
+  }
+  const std::string text = kInterimStatusLine + std::string(fields) + "\r\n";
+  const ssize_t n = send(socket_.native_handle(), text.data(), text.size(),
+                         MSG_DONTWAIT | MSG_NOSIGNAL);
+  // The rest of a partial response cannot be told apart from the final one.
+  if (n > 0 && n != static_cast<ssize_t>(text.size())) {
+    Close();
+  }
+}
+
 void WebSession::Respond(Response response, bool caller_keeps_alive) {
   if (state_ != State::kBusy) {
     return;
--- a/libs/transport/src/web_session.h
+++ b/libs/transport/src/web_session.h
@@ -56,6 +56,8 @@
   ~WebSession();
 
   void Start();
+  // Sends an interim response.
+  void Acknowledge(std::string_view fields);
   void Respond(Response response, bool caller_keeps_alive);
   // Closes the connection if `now` is past its deadline.
   void CheckDeadline(SteadyTime now);
--- a/tests/transport/server_caller.cc
+++ b/tests/transport/server_caller.cc
@@ -24,6 +24,10 @@
 }
 
 Reply ServerCaller::Call(uint16_t port, size_t max_body) {
+  {
+    std::lock_guard lock(mutex_);
+    interim_fields_.clear();
+  }
   auto promise = std::make_shared<std::promise<Reply>>();
   auto future = promise->get_future();
   thread_.Post([this, port, max_body, promise] {
@@ -34,13 +38,22 @@
           ASSERT_TRUE(connected);
           connection_->Send(
               Request(boost::beast::http::verb::get, "/", 11), max_body,
-              [promise](Reply it) { promise->set_value(std::move(it)); });
+              [promise](Reply it) { promise->set_value(std::move(it)); },
+              [this](const Response& header) {
+                std::lock_guard lock(mutex_);
+                interim_fields_.push_back(header["X"].to_string());
+              });
         });
   });
   EXPECT_EQ(future.wait_for(kReplyTime), std::future_status::ready);
   return future.get();
 }
 
+std::vector<std::string> ServerCaller::interim_fields() const {
+  std::lock_guard lock(mutex_);
+  return interim_fields_;
+}
+
 void ServerCaller::Close() {
   thread_.Post([this] { connection_->Close(); });
 }
--- a/tests/transport/server_caller.h
+++ b/tests/transport/server_caller.h
@@ -6,6 +6,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
 
 #include "gooseberryrock/transport/io_thread.h"
 #include "gooseberryrock/transport/server_connection.h"
@@ -23,6 +26,9 @@
   // test fails if it does not arrive in time.
   Reply Call(uint16_t port, size_t max_body);
 
+  // Header fields `X` of the interim replies to the last call.
+  std::vector<std::string> interim_fields() const;
+
   // Closes the connection of the last call.
   void Close();
 
@@ -31,6 +37,9 @@
   // I/O context until it is destroyed.
   IoThread thread_;
   std::shared_ptr<ServerConnection> connection_;
+  mutable std::mutex mutex_;
+  // Guarded by `mutex_`.
+  std::vector<std::string> interim_fields_;
 };
 
 }  // namespace gooseberryrock::transport
--- a/tests/transport/server_connection_test.cc
+++ b/tests/transport/server_connection_test.cc
@@ -159,8 +159,8 @@
   }
 }
 
-// Guards against an interim reply that is taken as the reply, and against
-// interim replies without end.
+// Guards against an interim reply that is taken as the reply or not reported,
+// and against interim replies without end.
 TEST_F(ServerConnectionTest, InterimRepliesAreSkipped) {
   const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
   const Reply reply =
@@ -170,6 +170,7 @@
   EXPECT_EQ(reply.response.result_int(), 200U);
   EXPECT_EQ(reply.response.body(), "abcde");
   EXPECT_TRUE(reply.reusable);
+  EXPECT_EQ(caller_.interim_fields(), (std::vector<std::string>{"", "y"}));
   std::string endless;
   for (int n = 0; n < 100; ++n) {
     endless += interim;
--- a/tests/transport/web_server_test.cc
+++ b/tests/transport/web_server_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <sys/socket.h>
+
 #include <chrono>
 #include <condition_variable>
 #include <memory>
@@ -164,6 +166,36 @@
       changed_.wait_for(lock, seconds(2), [&] { return disconnected_ == 1; }));
 }
 
+// Guards against running a request whose connection ended before it was read,
+// for example while the process was suspended: its sender has given it up.
+TEST_F(WebServerTest, RequestOfAClosedConnectionIsNotRun) {
+  {
+    RawSocket socket(Connect(server_->port()));
+    std::mutex busy;
+    busy.lock();
+    thread_.Post([&busy] { std::lock_guard wait(busy); });
+    socket.Send(kGet);
+    ASSERT_EQ(shutdown(socket.fd(), SHUT_WR), 0);
+    busy.unlock();
+    EXPECT_EQ(socket.ReadUntil("never", seconds(2)), "");
+  }
+  std::lock_guard lock(mutex_);
+  EXPECT_TRUE(pending_.empty());
+}
+
+// Guards against an acknowledgement that a caller takes for the response.
+TEST_F(WebServerTest, AcknowledgesBeforeTheResponse) {
+  RawSocket socket(Connect(server_->port()));
+  socket.Send(kGet);
+  ASSERT_TRUE(WaitForRequests(1));
+  thread_.Post([it = pending_.front()] { it->Acknowledge("X: y\r\n"); });
+  EXPECT_EQ(socket.ReadUntil("\r\n\r\n", seconds(2)),
+            "HTTP/1.1 102 Processing\r\nX: y\r\n\r\n");
+  AnswerAll();
+  EXPECT_EQ(socket.ReadUntil("\r\n\r\n", seconds(2)).substr(0, 12),
+            "HTTP/1.1 200");
+}
+
 // Guards against losing pipelined requests or answering them out of order.
 TEST_F(WebServerTest, AnswersPipelinedRequestsInOrder) {
   RawSocket socket(Connect(server_->port()));
