--- a/apps/node/tier_commands.cc
+++ b/apps/node/tier_commands.cc
@@ -160,6 +160,7 @@
   entry.peer_port = settings.peer_port;
   entry.control_vms = ControlVmIds(settings);
   entry.caller_endpoint = ToEndpoint(settings.caller_address);
+  entry.gather_endpoint = {settings.address, settings.gather_port};
   entry.ready_endpoint = ToEndpoint(settings.ready_address);
   entry.metrics_endpoint = ToEndpoint(settings.metrics_address);
   entry.io_shards = settings.cores;
@@ -170,6 +171,7 @@
       settings::MakeTierIntervals(settings);
   entry.poll_interval = intervals.poll_interval;
   entry.poll_reply_timeout = intervals.poll_reply_timeout;
+  entry.route_adoption_delay = intervals.route_adoption_delay;
   entry.remembered_server_lifetime = intervals.remembered_server_lifetime;
   entry.peer_heartbeat_interval = intervals.peer_heartbeat_interval;
   entry.peer_heartbeat_timeout = intervals.peer_heartbeat_timeout;
--- a/libs/entry/include/gooseberryrock/entry/entry_settings.h
+++ b/libs/entry/include/gooseberryrock/entry/entry_settings.h
@@ -25,6 +25,10 @@
   // Initial control VMs, which report the others.
   std::vector<NodeId> control_vms;
   transport::Endpoint caller_endpoint;
+  // Address at which other entry nodes pass on requests to gather; the port
+  // must be the same on all nodes. With port 0 this node neither gathers for
+  // others nor passes requests on.
+  transport::Endpoint gather_endpoint;
   transport::Endpoint ready_endpoint;
   // Address of the metrics server; metrics are not served if the host is empty.
   transport::Endpoint metrics_endpoint;
@@ -35,6 +39,9 @@
   // relied on.
   Duration poll_interval = std::chrono::milliseconds(250);
   Duration poll_reply_timeout = std::chrono::milliseconds(750);
+  // Time after which new routes are followed while some nodes gather for all:
+  // those know them as well by then.
+  Duration route_adoption_delay = std::chrono::milliseconds(625);
   // How long servers are used that a control VM knew before its restart and
   // that have not announced themselves.
   Duration remembered_server_lifetime = std::chrono::milliseconds(2500);
--- a/libs/entry/include/gooseberryrock/entry/server_change.h
+++ b/libs/entry/include/gooseberryrock/entry/server_change.h
@@ -3,12 +3,10 @@
 #ifndef GOOSEBERRYROCK_ENTRY_SERVER_CHANGE_H_
 #define GOOSEBERRYROCK_ENTRY_SERVER_CHANGE_H_
 
-#include <map>
-#include <vector>
-
 #include "gooseberryrock/base/ids.h"
 #include "gooseberryrock/directory/reservation.h"
 #include "gooseberryrock/directory/server_record.h"
+#include "gooseberryrock/relay/gather_nodes.h"
 
 namespace gooseberryrock::entry {
 
@@ -22,11 +20,15 @@
 struct ConnectionPlan {
   directory::Reservation reservation;
   directory::ReservedPlace place;
+  // All entry nodes, including this one.
+  NodeId self;
+  relay::NodesByDomain nodes;
 
   bool operator==(const ConnectionPlan& other) const {
     return reservation == other.reservation &&
            place.domain == other.place.domain &&
-           place.position == other.place.position;
+           place.position == other.place.position && self == other.self &&
+           nodes == other.nodes;
   }
 };
 
--- a/libs/entry/src/control_poller.cc
+++ b/libs/entry/src/control_poller.cc
@@ -311,10 +311,15 @@
       const proto::EntryPollReply& reply) const {
     ConnectionPlan plan;
     plan.place.domain = settings.failure_domain;
+    plan.self = settings.node;
     bool found = false;
     for (const proto::EntryNodes& it : reply.entry_nodes()) {
       plan.reservation[{it.failure_domain()}] =
           static_cast<uint32_t>(it.nodes_size());
+      std::vector<NodeId>& nodes = plan.nodes[{it.failure_domain()}];
+      for (const std::string& node : it.nodes()) {
+        nodes.push_back({node});
+      }
       const auto self =
           std::find(it.nodes().begin(), it.nodes().end(), settings.node.value);
       if (it.failure_domain() == settings.failure_domain.value &&
--- a/libs/entry/src/entry_node.cc
+++ b/libs/entry/src/entry_node.cc
@@ -39,6 +39,13 @@
 constexpr Duration kIdleMargin = std::chrono::seconds(2);
 // Enough for a body of the maximum size on a slow connection.
 constexpr Duration kBodyTimeout = std::chrono::seconds(10);
+// Nodes add three fields of less than 100 bytes each to a request that they
+// pass on, and keep a connection to each gathering node that they use.
+constexpr size_t kAddedHeaderBytes = 512;
+constexpr Duration kGatherIdleTimeout = std::chrono::seconds(120);
+// Time before the end of the drain by which requests are answered, so that the
+// answers still reach their callers.
+constexpr Duration kAnswerMargin = std::chrono::milliseconds(200);
 
 transport::WebLimits ToWebLimits(const routes::CallerLimits& limits) {
   transport::WebLimits web;
@@ -50,6 +57,14 @@
   return web;
 }
 
+// Requests of callers with the fields that nodes add.
+transport::WebLimits ToGatherLimits(const routes::CallerLimits& limits) {
+  transport::WebLimits web = ToWebLimits(limits);
+  web.header_bytes += kAddedHeaderBytes;
+  web.idle_timeout = kGatherIdleTimeout;
+  return web;
+}
+
 }  // namespace
 
 struct EntryNode::Impl {
@@ -64,14 +79,25 @@
       all.push_back(threads.back().get());
       shards.push_back(std::make_unique<EntryShard>(
           *threads.back(), codec, policy, n,
+          GatherOptions{settings.gather_endpoint.port,
+                        settings.route_adoption_delay},
           [this, i](const ServerNotice& it) { PassOn(it, i); }, metrics));
-      shards.back()->SetConnectionPlan({{}, {settings.failure_domain, 0}});
+      ConnectionPlan plan;
+      plan.place.domain = settings.failure_domain;
+      shards.back()->SetConnectionPlan(std::move(plan));
     }
     callers.emplace(
         all, settings.caller_endpoint, transport::WebLimits(),
         [this](size_t thread, std::shared_ptr<transport::Exchange> it) {
           shards[thread]->Handle(std::move(it));
         });
+    if (settings.gather_endpoint.port != 0) {
+      gather_server.emplace(
+          all, settings.gather_endpoint, transport::WebLimits(),
+          [this](size_t thread, std::shared_ptr<transport::Exchange> it) {
+            shards[thread]->HandleForwarded(std::move(it));
+          });
+    }
     control.emplace(settings, codec, Events());
     ready_server.emplace(
         std::vector<transport::IoThread*>{all.front()}, settings.ready_endpoint,
@@ -99,7 +125,10 @@
           std::max(total.servers_limited, counts.servers_limited);
       total.servers_resting = counts.servers_resting;
       total.servers_leaving = counts.servers_leaving;
+      total.gather_nodes = counts.gather_nodes;
     }
+    SetGauge(metrics, Gauge::kGatherNodes,
+             static_cast<double>(total.gather_nodes));
     SetGauge(metrics, Gauge::kQueriesInFlight,
              static_cast<double>(total.requests_in_flight));
     SetGauge(metrics, Gauge::kServersReady,
@@ -125,6 +154,11 @@
     reported_frames = status.frames;
   }
 
+  size_t OpenConnections() const {
+    return callers->OpenConnections() +
+           (gather_server ? gather_server->OpenConnections() : 0);
+  }
+
   bool IsReady() const { return !draining && control->IsReady(); }
 
   ~Impl() {
@@ -157,6 +191,9 @@
           }
           telemetry::SetServices(metrics, labels);
           callers->SetLimits(ToWebLimits(table->set.limits));
+          if (gather_server) {
+            gather_server->SetLimits(ToGatherLimits(table->set.limits));
+          }
         };
     events.on_servers = [this](const std::vector<ServerChange>& changes) {
       for (auto& it : shards) {
@@ -200,6 +237,7 @@
   std::optional<ControlPoller> control;
   std::optional<transport::WebServer> ready_server;
   std::optional<transport::WebServer> callers;
+  std::optional<transport::WebServer> gather_server;
   std::optional<monitoring::MetricsServer> metrics_server;
   std::mutex wait_mutex;
   std::condition_variable wait;
@@ -217,16 +255,25 @@
 void EntryNode::Drain() {
   const SteadyTime end = BootTime() + impl_->settings.stop_time - kExitMargin;
   impl_->draining = true;
+  for (auto& it : impl_->shards) {
+    it->StartDraining(end - kAnswerMargin);
+  }
   impl_->callers->StartDraining();
+  if (impl_->gather_server) {
+    impl_->gather_server->StartDraining();
+  }
   impl_->WaitFor(std::min(kBalancerDrainDelay, impl_->settings.stop_time / 2));
   impl_->callers->StopAccepting();
-  while (impl_->callers->OpenConnections() > 0 && BootTime() < end) {
+  if (impl_->gather_server) {
+    impl_->gather_server->StopAccepting();
+  }
+  while (impl_->OpenConnections() > 0 && BootTime() < end) {
     impl_->WaitFor(kDrainPollInterval);
   }
   telemetry::LogEvent(
       telemetry::LogLevel::kInfo, "entry_drained",
       {{"node", impl_->settings.node.value},
-       {"connections_cut", std::to_string(impl_->callers->OpenConnections())}});
+       {"connections_cut", std::to_string(impl_->OpenConnections())}});
 }
 
 }  // namespace gooseberryrock::entry
--- a/libs/entry/src/entry_shard.cc
+++ b/libs/entry/src/entry_shard.cc
@@ -9,7 +9,9 @@
 #include <boost/asio/io_context.hpp>
 
 #include "entry_shard_state.h"
+#include "gather_messages.h"
 #include "gooseberryrock/base/clock.h"
+#include "gooseberryrock/relay/stop_time.h"
 #include "gooseberryrock/telemetry/log_event.h"
 #include "gooseberryrock/telemetry/metrics.h"
 #include "gooseberryrock/transport/connection_fields.h"
@@ -44,6 +46,7 @@
                        const EntryCodec& codec,
                        const relay::RelayPolicy& policy,
                        unsigned shards,
+                       const GatherOptions& gather,
                        NoticeHandler on_notice,
                        telemetry::Metrics& metrics)
     : thread_(thread),
@@ -79,7 +82,10 @@
              }
            }}),
       started_(BootTime()),
+      gather_(gather),
+      last_maintenance_(started_),
       timer_(thread.context()) {
+  gather_pool_ = relay::MakeForwardPool();
   thread_.Every(kMaintenanceInterval, [this] {
     std::lock_guard lock(mutex_);
     RunMaintenance();
@@ -169,6 +175,15 @@
     ParkRequest(std::move(exchange), caller);
     return;
   }
+  if (answer_by_ && !relay::FitsBefore(*answer_by_, *route, now)) {
+    telemetry::LogEvent(LogLevel::kWarning, "request_refused",
+                        {{"request", caller.id},
+                         {"route", route->name},
+                         {"reason", "stopping"}});
+    exchange->Respond(codec_.encode_refused(
+        {relay::RefusalReason::kNotInTime, Duration::zero()}));
+    return;
+  }
   Start(std::move(exchange), std::move(caller), *route);
 }
 
@@ -201,15 +216,29 @@
 void EntryShard::Start(std::shared_ptr<transport::Exchange> exchange,
                        CallerRequest caller,
                        const routes::Route& route) {
-  const RequestNumber number = next_request_++;
   const SteadyTime received = exchange->received_at();
-  const SteadyTime deadline = received + caller.timeout.value_or(route.timeout);
+  ActiveRequest& active =
+      AddRequest(std::move(exchange), std::move(caller), table_, route);
+  const bool is_gathered =
+      std::holds_alternative<routes::ShardedTarget>(route.target);
+  if (!is_gathered || !PassOn(active, received)) {
+    Run(active, received, route.attempts);
+  }
+}
+
+EntryShard::ActiveRequest& EntryShard::AddRequest(
+    std::shared_ptr<transport::Exchange> exchange,
+    CallerRequest caller,
+    RouteTablePtr table,
+    const routes::Route& route) {
+  const RequestNumber number = next_request_++;
   auto active = std::make_unique<ActiveRequest>();
   active->number = number;
-  active->table = table_;
+  active->table = std::move(table);
+  active->caller_deadline =
+      exchange->received_at() + caller.timeout.value_or(route.timeout);
   active->caller = std::move(caller);
-  active->state =
-      relay::MakeRequest(route, PoolsOf(route), policy_, received, deadline);
+  active->route = &route;
   active->request = std::move(exchange->request());
 
   transport::RemoveConnectionFields(active->request);
@@ -222,13 +251,30 @@
   active->exchange = std::move(exchange);
   ActiveRequest& added = *active;
   active_.emplace(number, std::move(active));
-  ApplyEffects(number, relay::StartRequest(added.state, Context(), BootTime()));
+  return added;
+}
+
+void EntryShard::Run(ActiveRequest& active,
+                     SteadyTime received,
+                     uint32_t attempts) {
+  const routes::Route& route = *active.route;
+  active.state = relay::MakeRequest(route, PoolsOf(route), policy_, received,
+                                    active.caller_deadline);
+  active.state.attempts = attempts;
+  if (answer_by_) {
+    relay::AnswerBy(active.state, *answer_by_);
+  }
+  ApplyEffects(active.number,
+               relay::StartRequest(active.state, Context(), BootTime()));
 }
 
 ShardCounts EntryShard::Count() {
   std::lock_guard lock(mutex_);
   const SteadyTime now = BootTime();
   ShardCounts counts;
+  for (const auto& [domain, nodes] : gather_nodes_) {
+    counts.gather_nodes += nodes.size();
+  }
   counts.requests_in_flight = active_.size();
   for (const auto& [service, pool] : pools_) {
     for (const relay::PoolServer& it : pool.servers) {
@@ -262,6 +308,18 @@
   for (const relay::AttemptToDrop& drop : effects.drop) {
     Drop(active, drop);
   }
+  if (effects.report_progress) {
+    const std::string progress =
+        EncodeGatherProgress(relay::Progress(active.state));
+    if (!progress.empty()) {
+      active.exchange->Acknowledge(progress);
+    }
+  }
+  if (effects.outcome && active.state.IsPassedOn() &&
+      std::holds_alternative<relay::RefusedOutcome>(*effects.outcome)) {
+    GatherHere(active);
+    return;
+  }
   if (effects.outcome) {
     Finish(number, std::move(*effects.outcome));
     return;
@@ -302,6 +360,13 @@
   active_.erase(it);
   SetTimer(*active, std::nullopt);
   LogOutcome(active->caller.id, active->state, outcome);
+  if (active->for_other_node) {
+    const auto* answer = std::get_if<relay::GatheredOutcome>(&outcome);
+    active->exchange->Respond(
+        answer != nullptr ? EncodeGatherReply(*answer)
+                          : EncodeGatherRefusal(GatherRefusal::kFailed));
+    return;
+  }
   CountOutcome(metrics_, active->caller.host, active->state, outcome);
   transport::Response response;
   if (auto* gathered = std::get_if<relay::GatheredOutcome>(&outcome)) {
--- a/libs/entry/src/entry_shard.h
+++ b/libs/entry/src/entry_shard.h
@@ -5,12 +5,14 @@
 #define GOOSEBERRYROCK_LIBS_ENTRY_SRC_ENTRY_SHARD_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <random>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -48,6 +50,16 @@
   size_t servers_limited = 0;
   size_t servers_resting = 0;
   size_t servers_leaving = 0;
+  // Entry nodes that gather for others; 0 if each gathers for itself.
+  size_t gather_nodes = 0;
+};
+
+// How requests are passed on to gathering nodes.
+struct GatherOptions {
+  // Port of gathering nodes; 0 if there are none.
+  uint16_t port = 0;
+  // Time after which new routes are followed while some nodes gather for all.
+  Duration route_adoption_delay = Duration::zero();
 };
 
 class EntryShard {
@@ -60,6 +72,7 @@
              const EntryCodec& codec,
              const relay::RelayPolicy& policy,
              unsigned shards,
+             const GatherOptions& gather,
              NoticeHandler on_notice,
              telemetry::Metrics& metrics);
   EntryShard(const EntryShard&) = delete;
@@ -68,6 +81,9 @@
 
   // Called on the shard's thread.
   void Handle(std::shared_ptr<transport::Exchange> exchange);
+  // Gathers a request that another entry node passed on. Called on the shard's
+  // thread.
+  void HandleForwarded(std::shared_ptr<transport::Exchange> exchange);
 
   // Thread-safe.
   void SetRoutes(RouteTablePtr table);
@@ -75,6 +91,9 @@
   void SetConnectionPlan(ConnectionPlan plan);
   // Handles a notice that another I/O shard received.
   void OnNotice(const ServerNotice& notice);
+  // Answers all requests by `answer_by`, and refuses those that are unlikely to
+  // be answered until then and those that another node can gather.
+  void StartDraining(SteadyTime answer_by);
   ShardCounts Count();
 
  private:
@@ -96,6 +115,39 @@
   void Start(std::shared_ptr<transport::Exchange> exchange,
              CallerRequest caller,
              const routes::Route& route);
+  // Creates the request, without its state.
+  ActiveRequest& AddRequest(std::shared_ptr<transport::Exchange> exchange,
+                            CallerRequest caller,
+                            RouteTablePtr table,
+                            const routes::Route& route);
+  // Sends the request to the servers, each part to at most `attempts` of them,
+  // or refuses it.
+  void Run(ActiveRequest& active, SteadyTime received, uint32_t attempts);
+  // Passes the request on to gathering nodes. Returns false if there are none.
+  bool PassOn(ActiveRequest& active, SteadyTime received);
+  // No gathering node took the request: gathers it here.
+  void GatherHere(ActiveRequest& active);
+  bool IsForward(const InFlightAttempt& attempt) const;
+  // Returns the routes of that version; null if they are not or no longer
+  // known.
+  RouteTablePtr FindTable(uint64_t version) const;
+  void ForgetEarlierTables(SteadyTime now);
+  void FollowComingTables(SteadyTime now);
+  // Whether the process was suspended: requests in its sockets may have been
+  // given up by their senders.
+  bool WasSuspended(SteadyTime now) const;
+  void OnInterim(AttemptKey key, const transport::Response& header);
+  // The shards of the route and the nodes that can gather them.
+  std::vector<relay::ShardGroup> GroupsOf(const routes::Route& route);
+  // Records whether the gathering node of an attempt replied.
+  void RecordGatherResult(const BackendServerId& node, bool replied);
+  // Recomputes which nodes gather.
+  void UpdateGatherNodes();
+  relay::GatherInputs CurrentGatherInputs() const;
+  void UpdateGatherPool();
+  // Whether the connections of the service's servers belong to the gathering
+  // nodes.
+  bool IsGathered(const ServiceName& service) const;
   // Whether the node started so recently that it may not have received all
   // routes and servers.
   bool IsDiscovering(SteadyTime now) const;
@@ -135,11 +187,16 @@
   void ArmTimer();
   void OnTimer();
   void RunMaintenance();
+  void MaintainPool(relay::ServicePool& pool, SteadyTime now);
   void UpdateServer(const ServerChange& change);
   uint32_t ConnectionLimitOf(const ServiceName& service) const;
   // Sets this shard's share of the connection limit and of the request limit of
   // `server`.
   void ApplyShare(relay::PoolServer& server);
+  // The same for a server of a shard while some nodes gather for all.
+  void ApplyGatherShare(relay::PoolServer& server,
+                        const directory::ServerRecord& record,
+                        SteadyTime now);
   void ApplyShares(relay::ServicePool& pool);
   void ApplyAllShares();
 
@@ -154,10 +211,29 @@
   // Everything below is guarded by `mutex_`.
   std::mt19937_64 random_;
   RouteTablePtr table_;
+  // Routes that are known but not followed yet, with the time from which they
+  // are. Newest last.
+  std::deque<std::pair<RouteTablePtr, SteadyTime>> coming_tables_;
+  // Recent earlier routes, newest last, with the time at which they were
+  // replaced.
+  std::deque<std::pair<RouteTablePtr, SteadyTime>> earlier_tables_;
+  // Services that a route relays requests to.
+  std::set<ServiceName> relayed_services_;
   // Pools are never removed, because requests point to them.
   relay::PoolMap pools_;
   std::map<BackendServerId, directory::ServerRecord> records_;
   ConnectionPlan plan_;
+  relay::GatherInputs gather_inputs_;
+  relay::NodesByDomain gather_nodes_;
+  // When requests to gathering nodes of a failure domain last failed without a
+  // reply from the domain since then.
+  std::map<FailureDomain, SteadyTime> gather_failures_;
+  // Whether this node is one of them.
+  bool gathers_ = false;
+  // How the gathering nodes divide the connections of the servers of shards.
+  ConnectionPlan gather_plan_;
+  // The gathering nodes.
+  relay::ServicePool gather_pool_;
   std::map<std::string, relay::WeightedCredits> credits_;
   ConnectionPool connections_;
   std::unordered_map<RequestNumber, std::unique_ptr<ActiveRequest>> active_;
@@ -165,6 +241,12 @@
   // Requests that wait for routes or servers.
   std::vector<ParkedRequest> parked_;
   const SteadyTime started_;
+  const GatherOptions gather_;
+  // Set when the node stops.
+  std::optional<SteadyTime> answer_by_;
+  SteadyTime last_maintenance_;
+  // Until then, requests may come from before a suspension of the process.
+  SteadyTime suspect_requests_until_;
   RequestNumber next_request_ = 1;
   AttemptKey next_attempt_key_ = 1;
   std::multimap<SteadyTime, RequestNumber> timers_;
--- a/libs/entry/src/entry_shard_attempts.cc
+++ b/libs/entry/src/entry_shard_attempts.cc
@@ -4,6 +4,7 @@
 
 #include "entry_shard.h"
 #include "entry_shard_state.h"
+#include "gather_messages.h"
 #include "gooseberryrock/base/clock.h"
 #include "gooseberryrock/relay/server_reply.h"
 #include "gooseberryrock/telemetry/log_event.h"
@@ -97,11 +98,25 @@
   transport::Request request = active.request;
   codec_.set_attempt_fields(request, in_flight_attempt.server,
                             active.state.answer_deadline - now);
-  connection->Send(std::move(request), kMaxReplyBytes,
-                   [this, key](transport::Reply reply) {
-                     std::lock_guard lock(mutex_);
-                     OnReply(key, std::move(reply));
-                   });
+  transport::ServerConnection::InterimHandler on_interim;
+  if (IsForward(in_flight_attempt)) {
+    const relay::RequestPart& part =
+        relay::PartOf(active.state, in_flight_attempt.attempt);
+    SetGatherCall(request,
+                  {now - active.state.received, active.table->set.version,
+                   route.attempts - part.unacknowledged, part.group});
+    on_interim = [this, key](const transport::Response& header) {
+      std::lock_guard lock(mutex_);
+      OnInterim(key, header);
+    };
+  }
+  connection->Send(
+      std::move(request), kMaxReplyBytes,
+      [this, key](transport::Reply reply) {
+        std::lock_guard lock(mutex_);
+        OnReply(key, std::move(reply));
+      },
+      std::move(on_interim));
   const RequestNumber number = in_flight_attempt.active;
   ApplyEffects(number,
                relay::OnAttemptSent(active.state, in_flight_attempt.attempt,
@@ -124,6 +139,18 @@
     in_flight_.erase(key);
   } else if (drop.close) {
     const InFlightAttempt ended = RemoveAttempt(key);
+    auto* server = relay::FindServer(*ended.pool, ended.server);
+    if (drop.unacknowledged && server != nullptr) {
+      const SteadyTime now = BootTime();
+      relay::RecordResult(server->stats, policy_, relay::AttemptResult::kSilent,
+                          ended.sent_at, ended.typical, now);
+      RecordGatherResult(ended.server, /*replied=*/false);
+      Increment(metrics_, Counter::kGatherNodesSilent);
+      telemetry::LogEvent(LogLevel::kWarning, "gather_node_silent",
+                          {{"request", ended.request_id},
+                           {"node", ended.server.value},
+                           {"elapsed_ms", Milliseconds(now - ended.sent_at)}});
+    }
     connections_.Release(*ended.pool, ended.server, ended.connection,
                          /*reusable=*/false);
   }
@@ -181,12 +208,19 @@
 }
 
 void EntryShard::OnMatchingReply(AttemptKey key, transport::Reply reply) {
-  relay::ServerReply decoded = codec_.parse_reply(reply.response);
+  relay::ServerReply decoded = IsForward(in_flight_.at(key))
+                                   ? ReadGatherReply(reply.response)
+                                   : codec_.parse_reply(reply.response);
   if (decoded.kind == relay::ReplyKind::kUnusable) {
     OnLost(key, relay::AttemptResult::kLost);
     return;
   }
   InFlightAttempt in_flight_attempt = RemoveAttempt(key);
+  if (IsForward(in_flight_attempt)) {
+    RecordGatherResult(
+        in_flight_attempt.server,
+        /*replied=*/decoded.kind != relay::ReplyKind::kNotRun || decoded.rest);
+  }
   const SteadyTime now = BootTime();
   if (auto* server = relay::FindServer(*in_flight_attempt.pool,
                                        in_flight_attempt.server)) {
@@ -220,7 +254,9 @@
     return;
   }
   ActiveRequest& active = *it->second;
-  if (active.state.IsGathered()) {
+  if (active.state.IsPassedOn()) {
+    // The reply was decoded as a whole.
+  } else if (active.state.IsGathered()) {
     decoded.body = std::move(reply.response.body());
   } else {
     active.replied_attempt = in_flight_attempt.attempt;
@@ -327,6 +363,9 @@
                         in_flight_attempt.sent_at, in_flight_attempt.typical,
                         now);
   }
+  if (IsForward(in_flight_attempt)) {
+    RecordGatherResult(in_flight_attempt.server, /*replied=*/false);
+  }
   Increment(metrics_, Counter::kAttemptsFailed);
   telemetry::LogEvent(
       LogLevel::kWarning, "attempt_lost",
--- a/libs/entry/src/entry_shard_servers.cc
+++ b/libs/entry/src/entry_shard_servers.cc
@@ -8,6 +8,7 @@
 #include "gooseberryrock/base/clock.h"
 #include "gooseberryrock/base/hash.h"
 #include "gooseberryrock/directory/connection_share.h"
+#include "gooseberryrock/routes/route_services.h"
 #include "gooseberryrock/telemetry/log_event.h"
 #include "gooseberryrock/transport/io_thread.h"
 
@@ -24,11 +25,23 @@
 // the limit allows this many per node; with fewer they would use up connections
 // that the nodes in the server's own failure domain need.
 constexpr uint32_t kMinConnectionsPerNode = 2;
+// Fraction of the connections to servers of shards that the gathering nodes
+// divide; the others are left to nodes that reach no gathering node.
+constexpr double kGatherConnectionShare = 0.8;
+// Time after a suspension of the process in which requests from before are
+// read.
+constexpr Duration kSuspectRequestsTime = std::chrono::milliseconds(100);
 
 }  // namespace
 
 void EntryShard::RunMaintenance() {
   const SteadyTime now = BootTime();
+  if (now - last_maintenance_ > kSuspendedAfter) {
+    suspect_requests_until_ = now + kSuspectRequestsTime;
+  }
+  last_maintenance_ = now;
+  FollowComingTables(now);
+  ForgetEarlierTables(now);
   std::vector<AttemptKey> expired;
   for (const auto& [key, in_flight_attempt] : in_flight_) {
     if (in_flight_attempt.connection && now >= in_flight_attempt.close_at) {
@@ -42,26 +55,37 @@
   }
   RetryParked();
   for (auto& [service, pool] : pools_) {
-    for (relay::PoolServer& it : pool.servers) {
-      const bool prewarm = it.usable && it.stats.consecutive_failures == 0 &&
-                           !IsResting(it.notices, now);
-      connections_.Maintain(pool, it, prewarm ? it.prewarmed_connections : 0);
-    }
-    std::erase_if(pool.servers, [](const relay::PoolServer& it) {
-      // A server that leaves is kept until it is announced as gone: it may
-      // still announce itself as ready.
-      return !it.usable && !it.notices.leaving_since && it.connections == 0 &&
-             it.queued == 0 && it.stats.outstanding == 0;
-    });
+    MaintainPool(pool, now);
   }
+  MaintainPool(gather_pool_, now);
+}
+
+void EntryShard::MaintainPool(relay::ServicePool& pool, SteadyTime now) {
+  for (relay::PoolServer& it : pool.servers) {
+    // Requests do not probe a failed gathering node; a new connection does.
+    const bool has_failed =
+        it.stats.consecutive_failures > 0 &&
+        (&pool != &gather_pool_ || IsSuspect(it.stats, now));
+    const bool prewarm =
+        it.usable && !has_failed && !IsResting(it.notices, now);
+    connections_.Maintain(pool, it, prewarm ? it.prewarmed_connections : 0);
+  }
+  std::erase_if(pool.servers, [](const relay::PoolServer& it) {
+    // A server that leaves is kept until it is announced as gone: it may still
+    // announce itself as ready.
+    return !it.usable && !it.notices.leaving_since && it.connections == 0 &&
+           it.queued == 0 && it.stats.outstanding == 0;
+  });
 }
 
 void EntryShard::SetRoutes(RouteTablePtr table) {
   thread_.Post([this, table = std::move(table)] {
     std::lock_guard lock(mutex_);
-    table_ = table;
-    ApplyAllShares();
-    RetryParked();
+    const SteadyTime now = BootTime();
+    coming_tables_.emplace_back(
+        table,
+        gather_nodes_.empty() ? now : now + gather_.route_adoption_delay);
+    FollowComingTables(now);
   });
 }
 
@@ -71,6 +95,7 @@
     for (const ServerChange& it : changes) {
       UpdateServer(it);
     }
+    UpdateGatherNodes();
     RetryParked();
   });
 }
@@ -79,6 +104,7 @@
   thread_.Post([this, plan = std::move(plan)] {
     std::lock_guard lock(mutex_);
     plan_ = plan;
+    UpdateGatherNodes();
     ApplyAllShares();
   });
 }
@@ -154,8 +180,13 @@
 
 void EntryShard::ApplyShare(relay::PoolServer& server) {
   const directory::ServerRecord& record = records_.at(server.id);
+  server.domain = record.failure_domain;
   server.same_domain = record.failure_domain == plan_.place.domain;
   const SteadyTime now = BootTime();
+  if (IsGathered(record.service)) {
+    ApplyGatherShare(server, record, now);
+    return;
+  }
   if (plan_.reservation.empty()) {
     // The number of nodes that share the limit is not known yet.
     server.connection_share = 1;
@@ -187,12 +218,40 @@
   }
   relay::EnsureOneUsableServer(
       pool, Hash64(plan_.place.domain.value, plan_.place.position));
-  const uint32_t nodes = directory::CountNodes(plan_.reservation);
+  const uint32_t nodes = directory::CountNodes(
+      gathers_ && IsGathered(pool.service) ? gather_plan_.reservation
+                                           : plan_.reservation);
   if (nodes > 0) {
     relay::SetBudgetShare(pool, policy_, nodes * shards_);
   }
 }
 
+void EntryShard::ApplyGatherShare(relay::PoolServer& server,
+                                  const directory::ServerRecord& record,
+                                  SteadyTime now) {
+  const auto all = static_cast<double>(ConnectionLimitOf(record.service));
+  server.prewarmed_connections = 0;
+  if (!gathers_) {
+    // Used only while no gathering node can be reached.
+    server.connection_share = 0;
+    relay::SetLimitShare(
+        server.request_limit,
+        (1 - kGatherConnectionShare) /
+            std::max(1U, directory::CountNodes(plan_.reservation)) / shards_,
+        now);
+    return;
+  }
+  const auto limit = static_cast<uint32_t>(all * kGatherConnectionShare);
+  const uint32_t share = directory::ConnectionShare(
+      limit, gather_plan_.reservation, record.failure_domain,
+      gather_plan_.place, Hash64(record.id.value));
+  server.connection_share = share == 0 ? 0 : std::max(1U, share / shards_);
+  relay::SetLimitShare(server.request_limit,
+                       std::max<double>(share, 1) / all / shards_, now);
+  server.prewarmed_connections =
+      server.same_domain ? kPrewarmedSameDomain : kPrewarmedOtherDomain;
+}
+
 void EntryShard::ApplyAllShares() {
   for (auto& [service, pool] : pools_) {
     ApplyShares(pool);
--- a/libs/entry/src/entry_shard_state.h
+++ b/libs/entry/src/entry_shard_state.h
@@ -10,15 +10,26 @@
 
 #include "entry_shard.h"
 #include "gooseberryrock/relay/request_state.h"
+#include "gooseberryrock/routes/route.h"
 
 namespace gooseberryrock::entry {
 
+// The maintenance runs every 200 ms. After a longer gap than this the process
+// was suspended.
+inline constexpr Duration kSuspendedAfter = std::chrono::milliseconds(600);
+
 struct EntryShard::ActiveRequest {
   RequestNumber number = 0;
   std::shared_ptr<transport::Exchange> exchange;
   // Owns the route that `state` refers to.
   RouteTablePtr table;
   CallerRequest caller;
+  // When the caller gives up.
+  SteadyTime caller_deadline;
+  // The route of the caller's request, owned by `table`.
+  const routes::Route* route = nullptr;
+  // Another entry node passed the request on.
+  bool for_other_node = false;
   // The request to forward, without the fields specific to an attempt.
   transport::Request request;
   relay::RequestState state;
--- a/libs/entry/src/outcome_log.cc
+++ b/libs/entry/src/outcome_log.cc
@@ -58,7 +58,9 @@
   size_t n = 0;
   for (const relay::RequestPart& part : state.parts) {
     if (!part.answered && n++ < kMaxNamedServices) {
-      names += (names.empty() ? "" : ",") + part.pool->service.value;
+      names += (names.empty() ? "" : ",") +
+               (part.group.empty() ? part.pool->service.value
+                                   : "group:" + part.domain.value);
     }
   }
   return names;
@@ -129,9 +131,9 @@
   telemetry::AnswerSample sample{
       state.route->name,          state.route->rank, host,
       StatusName(state, outcome), latency,           std::nullopt};
-  if (std::holds_alternative<relay::GatheredOutcome>(outcome)) {
-    sample.coverage = static_cast<double>(state.parts_answered) /
-                      static_cast<double>(state.parts.size());
+  if (const auto* gathered = std::get_if<relay::GatheredOutcome>(&outcome)) {
+    const auto answered = static_cast<double>(gathered->digests.size());
+    sample.coverage = answered / (answered + gathered->missing_shards);
   }
   RecordAnswer(metrics, sample);
   if (std::holds_alternative<relay::RefusedOutcome>(outcome)) {
--- a/libs/relay/include/gooseberryrock/relay/choose_server.h
+++ b/libs/relay/include/gooseberryrock/relay/choose_server.h
@@ -25,6 +25,12 @@
   std::span<const BackendServerId> excluded;
   // Skips suspect servers.
   bool only_healthy = false;
+  // Skips failed servers until a connection to them is open, instead of sending
+  // them a request as a probe.
+  bool only_connected = false;
+  // Servers in this failure domain are preferred; if null, those in the domain
+  // of the node.
+  const FailureDomain* domain = nullptr;
 };
 
 // Estimated time for `server` to answer one more request.
--- a/libs/relay/include/gooseberryrock/relay/pool_server.h
+++ b/libs/relay/include/gooseberryrock/relay/pool_server.h
@@ -18,6 +18,7 @@
   uint64_t incarnation = 0;
   std::string host;
   uint16_t port = 0;
+  FailureDomain domain;
   bool same_domain = false;
   // Requests that the server executes concurrently.
   uint32_t slots = 1;
--- a/libs/relay/include/gooseberryrock/relay/relay_policy.h
+++ b/libs/relay/include/gooseberryrock/relay/relay_policy.h
@@ -52,6 +52,13 @@
   double default_typical_share = 0.15;
   double default_overdue_share = 0.35;
 
+  // Time for a gathering node to acknowledge a request, as a fraction of the
+  // target latency, and at least `min_acknowledge_time`, which a node needs
+  // when it is busy with the replies of another request. A node that is frozen
+  // or cut off costs a request this much; the rest is enough for another node.
+  double acknowledge_share = 0.5;
+  Duration min_acknowledge_time = std::chrono::milliseconds(40);
+
   // Hedges and retries.
   ExtraAttemptLimit extra_attempts;
   // Fraction of the limit's share that first attempts add to the budget. The
--- a/libs/relay/include/gooseberryrock/relay/request_effects.h
+++ b/libs/relay/include/gooseberryrock/relay/request_effects.h
@@ -30,6 +30,9 @@
 struct AttemptToDrop {
   AttemptNumber number = 0;
   bool close = false;
+  // The server did not acknowledge the attempt in time, which counts as a
+  // failure of the server.
+  bool unacknowledged = false;
 };
 
 struct RequestEffects {
@@ -38,6 +41,8 @@
   // Sent attempts that became overdue; they count in ServerStats::overdue until
   // they end.
   std::vector<AttemptNumber> overdue;
+  // Report what has arrived so far to the node that passed the request on.
+  bool report_progress = false;
   // When to call OnRequestTimer() next.
   std::optional<SteadyTime> next_timer;
   // Set exactly once, when the request has finished.
--- a/libs/relay/include/gooseberryrock/relay/request_machine.h
+++ b/libs/relay/include/gooseberryrock/relay/request_machine.h
@@ -42,6 +42,25 @@
                              RelayContext context,
                              SteadyTime now);
 
+// The server said that it processes the attempt.
+RequestEffects OnAttemptAcknowledged(RequestState& state,
+                                     AttemptNumber attempt,
+                                     RelayContext context,
+                                     SteadyTime now);
+
+// A gathering node reported what has arrived so far.
+RequestEffects OnAttemptProgress(RequestState& state,
+                                 AttemptNumber attempt,
+                                 ServerReply progress,
+                                 RelayContext context,
+                                 SteadyTime now);
+
+// Returns the part that an attempt in flight is for.
+const RequestPart& PartOf(const RequestState& state, AttemptNumber attempt);
+
+// Returns what has arrived so far of a gathered request.
+GatheredOutcome Progress(const RequestState& state);
+
 RequestEffects OnAttemptReply(RequestState& state,
                               AttemptNumber attempt,
                               ServerReply reply,
--- a/libs/relay/include/gooseberryrock/relay/server_reply.h
+++ b/libs/relay/include/gooseberryrock/relay/server_reply.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "gooseberryrock/base/time.h"
 
@@ -28,6 +29,8 @@
   ReplyKind kind = ReplyKind::kFailure;
   // Digest of the reply; included in a gathered answer.
   std::string digest;
+  // The digests of the shards in the reply of a gathering node.
+  std::vector<std::string> digests;
   // The records of a shard.
   std::string body;
   // Number of requests running or queued at the server, if reported.
--- a/libs/relay/src/choose_server.cc
+++ b/libs/relay/src/choose_server.cc
@@ -30,6 +30,10 @@
   if (selection.only_healthy && IsSuspect(server.stats, now)) {
     return false;
   }
+  if (selection.only_connected && server.stats.consecutive_failures > 0 &&
+      (server.idle_connections == 0 || IsSuspect(server.stats, now))) {
+    return false;
+  }
   return std::find(selection.excluded.begin(), selection.excluded.end(),
                    server.id) == selection.excluded.end();
 }
@@ -94,7 +98,10 @@
                                     ? Scale(typical, policy.failure_cost_factor)
                                     : selection.target_latency;
   cost += Scale(failure_cost, server.stats.failure_share);
-  if (!server.same_domain) {
+  const bool is_near = selection.domain != nullptr
+                           ? server.domain == *selection.domain
+                           : server.same_domain;
+  if (!is_near) {
     cost += Scale(selection.target_latency, policy.cross_domain_share);
   }
   if (server.idle_connections == 0) {
@@ -120,7 +127,7 @@
     if (!IsCandidate(server, selection, now)) {
       continue;
     }
-    if (IsDueForProbe(server, now)) {
+    if (!selection.only_connected && IsDueForProbe(server, now)) {
       server.stats.next_probe = now + policy.max_probe_delay;
       CountSend(server.request_limit, now);
       return i;
--- a/libs/relay/src/request_machine.cc
+++ b/libs/relay/src/request_machine.cc
@@ -27,9 +27,9 @@
 
 RequestAttempt* Find(RequestState& state, AttemptNumber number) {
   auto it = std::find_if(
-      state.attempts.begin(), state.attempts.end(),
+      state.attempts_in_flight.begin(), state.attempts_in_flight.end(),
       [number](const RequestAttempt& n) { return n.number == number; });
-  return it == state.attempts.end() ? nullptr : &*it;
+  return it == state.attempts_in_flight.end() ? nullptr : &*it;
 }
 
 // An attempt that was not sent does not count towards the server's limit.
@@ -49,20 +49,31 @@
                       AttemptNumber number,
                       SteadyTime now) {
   auto it = std::find_if(
-      state.attempts.begin(), state.attempts.end(),
+      state.attempts_in_flight.begin(), state.attempts_in_flight.end(),
       [number](const RequestAttempt& n) { return n.number == number; });
   RequestAttempt attempt = std::move(*it);
-  state.attempts.erase(it);
+  state.attempts_in_flight.erase(it);
   --state.parts[attempt.part].open_attempts;
   TakeBackUnsent(state, attempt, now);
   return attempt;
 }
 
+bool IsUnacknowledged(const RequestState& state,
+                      const RequestAttempt& attempt) {
+  return state.acknowledge_within && attempt.sent && !attempt.acknowledged;
+}
+
 Duration OverdueTime(const RequestState& state,
-                     const RequestPart& part,
+                     const RequestAttempt& attempt,
                      const RelayContext& context) {
-  return OverdueAfter(*part.pool, context.policy, state.route->rank,
-                      state.route->target_latency);
+  if (IsUnacknowledged(state, attempt)) {
+    return *state.acknowledge_within;
+  }
+  if (attempt.acknowledged) {
+    return state.route->target_latency;
+  }
+  return OverdueAfter(*state.parts[attempt.part].pool, context.policy,
+                      state.route->rank, state.route->target_latency);
 }
 
 Selection SelectionOf(const RequestState& state) {
@@ -83,6 +94,8 @@
   RequestPart& part = state.parts[index];
   Selection selection = SelectionOf(state);
   selection.excluded = part.tried;
+  selection.only_connected = state.IsPassedOn();
+  selection.domain = part.domain.empty() ? nullptr : &part.domain;
   selection.only_healthy = filter == ServerFilter::kHealthyServers;
   const auto server =
       ChooseServer(*part.pool, context.policy, selection, context.random, now);
@@ -97,7 +110,7 @@
   part.tried.push_back(attempt.server);
   ++part.open_attempts;
   effects.send.push_back({attempt.number, part.pool, attempt.server, cause});
-  state.attempts.push_back(std::move(attempt));
+  state.attempts_in_flight.push_back(std::move(attempt));
   return true;
 }
 
@@ -108,17 +121,24 @@
   }
 }
 
+// The server of an attempt that was sent did not run it.
+void CountRefusal(RequestPart& part) {
+  --part.sends;
+  ++part.refusals;
+  part.may_have_run = part.sends > 0;
+}
+
 // Gives up all attempts of a request that ends.
 void DropAll(RequestState& state,
              bool close,
              SteadyTime now,
              RequestEffects& effects) {
   state.finished = true;
-  for (const RequestAttempt& it : state.attempts) {
+  for (const RequestAttempt& it : state.attempts_in_flight) {
     TakeBackUnsent(state, it, now);
     effects.drop.push_back({it.number, close});
   }
-  state.attempts.clear();
+  state.attempts_in_flight.clear();
 }
 
 void Finish(RequestState& state,
@@ -131,31 +151,72 @@
   effects.outcome = std::move(outcome);
 }
 
-Outcome MakeGatheredOutcome(const RequestState& state, bool settled_early) {
+size_t ShardCount(const RequestPart& part) {
+  return std::max<size_t>(part.group.size(), 1);
+}
+
+// Number of shards that have answered.
+size_t CountAnswered(const RequestState& state) {
+  size_t n = 0;
+  for (const RequestPart& it : state.parts) {
+    n += it.digests.size();
+  }
+  return n;
+}
+
+// Number of shards that have answered or may still do so.
+size_t CountAvailable(const RequestState& state) {
+  size_t n = 0;
+  for (const RequestPart& it : state.parts) {
+    n += it.failed ? it.digests.size() : ShardCount(it);
+  }
+  return n;
+}
+
+GatheredOutcome MakeGatheredOutcome(const RequestState& state,
+                                    bool settled_early) {
   std::vector<std::string_view> bodies;
   GatheredOutcome outcome;
+  size_t shards = 0;
   for (const RequestPart& part : state.parts) {
-    if (part.answered) {
+    shards += ShardCount(part);
+    if (!part.digests.empty()) {
       bodies.push_back(part.body);
-      outcome.digests.push_back(part.digest);
+      outcome.digests.insert(outcome.digests.end(), part.digests.begin(),
+                             part.digests.end());
     }
   }
   outcome.body = TopRecords(bodies, state.top_records);
   outcome.missing_shards =
-      static_cast<uint32_t>(state.parts.size() - outcome.digests.size());
+      static_cast<uint32_t>(shards - outcome.digests.size());
   outcome.settled_early = settled_early;
   return outcome;
 }
 
+// A request that no gathering node has acknowledged may be gathered again: the
+// attempts that were sent count as unacknowledged.
+void GiveUpUnacknowledged(RequestState& state, RequestEffects& effects) {
+  for (const RequestAttempt& it : state.attempts_in_flight) {
+    RequestPart& part = state.parts[it.part];
+    if (IsUnacknowledged(state, it) &&
+        part.unacknowledged < state.max_unacknowledged) {
+      ++part.unacknowledged;
+      CountRefusal(part);
+      effects.drop.push_back({it.number, /*close=*/true});
+    }
+  }
+}
+
 // Finishes a gathered request that lacks too many shards. Returns whether it
 // did.
 bool FinishIfTooFewShards(RequestState& state,
                           RelayContext context,
                           SteadyTime now,
                           RequestEffects& effects) {
-  if (state.parts.size() - state.parts_failed >= state.min_parts) {
+  if (CountAvailable(state) >= state.min_shards) {
     return false;
   }
+  GiveUpUnacknowledged(state, effects);
   Finish(state,
          FailureOutcome(state, RefusalReason::kShardsUnavailable, context, now),
          now, effects);
@@ -172,12 +233,16 @@
   }
   const size_t n = state.parts.size();
   const bool all_ended = state.parts_answered + state.parts_failed == n;
-  const bool enough = state.parts_answered >= state.min_parts;
   if (state.IsGathered()) {
-    if (enough && (all_ended || now >= state.partial_answer_at)) {
+    const bool enough = CountAnswered(state) >= state.min_shards;
+    const bool is_due = now >= state.partial_answer_at;
+    if (enough && (all_ended || (is_due && !state.reports_progress))) {
       Finish(state, MakeGatheredOutcome(state, !all_ended), now, effects);
       return;
     }
+    if (enough && is_due && !state.progress_reported) {
+      state.progress_reported = effects.report_progress = true;
+    }
     if (FinishIfTooFewShards(state, context, now, effects)) {
       return;
     }
@@ -191,10 +256,9 @@
   if (state.IsGathered() && now < state.partial_answer_at) {
     next = std::min(next, state.partial_answer_at);
   }
-  for (const RequestAttempt& it : state.attempts) {
+  for (const RequestAttempt& it : state.attempts_in_flight) {
     if (!it.overdue) {
-      next = std::min(
-          next, it.started + OverdueTime(state, state.parts[it.part], context));
+      next = std::min(next, it.started + OverdueTime(state, it, context));
     }
   }
   effects.next_timer = next;
@@ -211,8 +275,8 @@
     return;
   }
   const bool repeatable = state.route->idempotent || !part.may_have_run;
-  const bool allowed = repeatable && part.sends < state.route->attempts &&
-                       part.refusals < kMaxRefusals;
+  const bool allowed =
+      repeatable && part.sends < state.attempts && part.refusals < kMaxRefusals;
   // A retry is free if no server has received an attempt yet.
   const bool is_free = part.sends == 0 && part.refusals == 0;
   if (allowed && (is_free || query::SpendBudget(part.pool->budget)) &&
@@ -223,6 +287,24 @@
   FailPart(state, part);
 }
 
+// Sends a part to another gathering node after an attempt that was not
+// acknowledged, if it has another attempt.
+void MoveUnacknowledged(RequestState& state,
+                        size_t index,
+                        RelayContext context,
+                        SteadyTime now,
+                        RequestEffects& effects) {
+  RequestPart& part = state.parts[index];
+  if (++part.unacknowledged > state.max_unacknowledged) {
+    FailPart(state, part);
+    return;
+  }
+  // The whole failure domain may be cut off.
+  part.domain = {};
+  CountRefusal(part);
+  RetryPart(state, index, context, now, effects);
+}
+
 // Handles an overdue attempt: hedges it if that is allowed, or moves it to
 // another server if it is still waiting for a connection.
 void OnOverdue(RequestState& state,
@@ -231,6 +313,12 @@
                SteadyTime now,
                RequestEffects& effects) {
   RequestAttempt& attempt = *Find(state, number);
+  if (IsUnacknowledged(state, attempt)) {
+    const size_t part = Remove(state, number, now).part;
+    effects.drop.push_back({number, /*close=*/true, /*unacknowledged=*/true});
+    MoveUnacknowledged(state, part, context, now, effects);
+    return;
+  }
   attempt.overdue = true;
   const size_t index = attempt.part;
   RequestPart& part = state.parts[index];
@@ -243,7 +331,7 @@
     return;
   }
   effects.overdue.push_back(number);
-  if (state.route->idempotent && part.sends < state.route->attempts &&
+  if (state.route->idempotent && part.sends < state.attempts &&
       part.open_attempts == 1 && part.pool->budget.tokens >= 1 &&
       AddAttempt(state, index, AttemptCause::kHedge,
                  ServerFilter::kHealthyServers, context, now, effects)) {
@@ -256,6 +344,21 @@
   FailPart(state, part);
 }
 
+// Whether to leave out a shard whose servers failed recently. A node that
+// gathers for another one tries them all the same once enough shards are left
+// out, unless they are down: servers that lose a part of their replies answer
+// more often than not.
+bool MaySkipUnavailable(const RequestState& state, const RequestPart& part) {
+  constexpr uint32_t kFailuresOfLostServer = 3;
+  return !state.reports_progress || state.parts_failed < state.max_skipped ||
+         std::all_of(part.pool->servers.begin(), part.pool->servers.end(),
+                     [](const PoolServer& it) {
+                       return !it.AcceptsWork() ||
+                              it.stats.consecutive_failures >=
+                                  kFailuresOfLostServer;
+                     });
+}
+
 // Leaves out the shards that do not respond, and the slowest of those that are
 // expected to take too long, as far as the minimum coverage allows.
 void SkipShards(RequestState& state, RelayContext context, SteadyTime now) {
@@ -265,7 +368,8 @@
   const Selection selection = SelectionOf(state);
   std::vector<std::pair<Duration, RequestPart*>> busy;
   for (RequestPart& it : state.parts) {
-    if (IsUnavailable(*it.pool, state.route->rank, now)) {
+    if (IsUnavailable(*it.pool, state.route->rank, now) &&
+        MaySkipUnavailable(state, it)) {
       SkipPart(state, it);
       continue;
     }
@@ -277,7 +381,7 @@
   }
   std::sort(busy.rbegin(), busy.rend());
   for (const auto& [expected, part] : busy) {
-    if (state.parts.size() - state.parts_failed <= state.min_parts) {
+    if (state.parts_failed >= state.max_skipped) {
       return;
     }
     SkipPart(state, *part);
@@ -289,15 +393,26 @@
                                            RelayContext context,
                                            SteadyTime now) {
   const Selection selection = SelectionOf(state);
-  Duration longest = Duration::zero();
+  std::vector<Duration> expected_times;
   for (const RequestPart& it : state.parts) {
-    if (!it.skipped) {
-      const Duration expected =
-          MinExpectedTime(*it.pool, context.policy, selection, now);
-      longest = std::max(
-          longest, expected < Duration::max() ? expected : Duration::zero());
+    const Duration expected =
+        MinExpectedTime(*it.pool, context.policy, selection, now);
+    if (!it.skipped && expected < Duration::max()) {
+      expected_times.push_back(expected);
     }
   }
+  if (expected_times.empty()) {
+    return std::nullopt;
+  }
+  // For another node, a few busy shards are no reason to refuse the others: it
+  // may have enough of them, or answer late.
+  const size_t decisive = state.reports_progress
+                              ? expected_times.size() / 2
+                              : expected_times.size() - 1;
+  std::nth_element(expected_times.begin(),
+                   expected_times.begin() + static_cast<ptrdiff_t>(decisive),
+                   expected_times.end());
+  const Duration longest = expected_times[decisive];
   // A request that was parked until the node knew its servers may be past its
   // target latency; a late answer is still useful then.
   const Duration left =
@@ -324,6 +439,7 @@
   RequestState state;
   state.route = &route;
   state.received = received;
+  state.attempts = route.attempts;
   state.partial_answer_at =
       received + route.target_latency - policy.answer_margin;
   state.answer_deadline = std::min(caller_deadline - policy.answer_margin,
@@ -333,7 +449,8 @@
   }
   if (const auto* sharded = std::get_if<routes::ShardedTarget>(&route.target)) {
     state.top_records = sharded->top_records;
-    state.min_parts = MinShards(pools.size(), sharded->minimum_coverage);
+    state.min_shards = MinShards(pools.size(), sharded->minimum_coverage);
+    state.max_skipped = pools.size() - std::min(pools.size(), state.min_shards);
   }
   return state;
 }
@@ -347,7 +464,7 @@
            now, effects);
     return effects;
   }
-  if (state.IsGathered()) {
+  if (state.IsGathered() && !state.IsPassedOn()) {
     SkipShards(state, context, now);
     if (FinishIfTooFewShards(state, context, now, effects)) {
       return effects;
@@ -394,6 +511,45 @@
   return effects;
 }
 
+RequestEffects OnAttemptAcknowledged(RequestState& state,
+                                     AttemptNumber attempt,
+                                     RelayContext context,
+                                     SteadyTime now) {
+  RequestEffects effects;
+  if (RequestAttempt* it = Find(state, attempt)) {
+    it->acknowledged = true;
+    FinishOrSetTimer(state, context, now, effects);
+  }
+  return effects;
+}
+
+RequestEffects OnAttemptProgress(RequestState& state,
+                                 AttemptNumber attempt,
+                                 ServerReply progress,
+                                 RelayContext context,
+                                 SteadyTime now) {
+  RequestEffects effects;
+  if (RequestAttempt* it = Find(state, attempt)) {
+    it->acknowledged = true;
+    RequestPart& part = state.parts[it->part];
+    part.digests = std::move(progress.digests);
+    part.body = std::move(progress.body);
+    FinishOrSetTimer(state, context, now, effects);
+  }
+  return effects;
+}
+
+const RequestPart& PartOf(const RequestState& state, AttemptNumber attempt) {
+  const auto it = std::find_if(
+      state.attempts_in_flight.begin(), state.attempts_in_flight.end(),
+      [attempt](const RequestAttempt& n) { return n.number == attempt; });
+  return state.parts[it->part];
+}
+
+GatheredOutcome Progress(const RequestState& state) {
+  return MakeGatheredOutcome(state, /*settled_early=*/true);
+}
+
 RequestEffects OnAttemptReply(RequestState& state,
                               AttemptNumber number,
                               ServerReply reply,
@@ -411,23 +567,28 @@
   if (reply.kind == ReplyKind::kSuccess) {
     part.answered = true;
     ++state.parts_answered;
-    part.digest = std::move(reply.digest);
+    part.digests = std::move(reply.digests);
+    if (part.digests.empty()) {
+      part.digests.push_back(std::move(reply.digest));
+    }
     part.body = std::move(reply.body);
     if (!state.IsGathered()) {
       Finish(state, RelayedOutcome{number}, now, effects);
       return effects;
     }
-    for (size_t i = state.attempts.size(); i-- > 0;) {
-      if (state.attempts[i].part == attempt.part) {
-        effects.drop.push_back({state.attempts[i].number, /*close=*/false});
-        Remove(state, state.attempts[i].number, now);
+    for (size_t i = state.attempts_in_flight.size(); i-- > 0;) {
+      if (state.attempts_in_flight[i].part == attempt.part) {
+        effects.drop.push_back(
+            {state.attempts_in_flight[i].number, /*close=*/false});
+        Remove(state, state.attempts_in_flight[i].number, now);
       }
     }
   } else {
     if (reply.kind != ReplyKind::kFailure) {
-      --part.sends;
-      ++part.refusals;
-      part.may_have_run = part.sends > 0;
+      // Nodes of one failure domain often refuse for the same reason, such as
+      // routes that they do not know yet.
+      part.domain = {};
+      CountRefusal(part);
     } else if (!state.IsGathered()) {
       state.failed_reply = number;
     }
@@ -449,7 +610,11 @@
   if (attempt.sent) {
     state.connection_lost = true;
   }
-  RetryPart(state, attempt.part, context, now, effects);
+  if (IsUnacknowledged(state, attempt)) {
+    MoveUnacknowledged(state, attempt.part, context, now, effects);
+  } else {
+    RetryPart(state, attempt.part, context, now, effects);
+  }
   FinishOrSetTimer(state, context, now, effects);
   return effects;
 }
@@ -462,7 +627,7 @@
     return effects;
   }
   if (now >= state.answer_deadline) {
-    if (state.IsGathered() && state.parts_answered >= state.min_parts) {
+    if (state.IsGathered() && CountAnswered(state) >= state.min_shards) {
       Finish(state, MakeGatheredOutcome(state, /*settled_early=*/true), now,
              effects);
     } else {
@@ -473,9 +638,8 @@
     return effects;
   }
   std::vector<AttemptNumber> overdue;
-  for (const RequestAttempt& it : state.attempts) {
-    if (!it.overdue &&
-        now >= it.started + OverdueTime(state, state.parts[it.part], context)) {
+  for (const RequestAttempt& it : state.attempts_in_flight) {
+    if (!it.overdue && now >= it.started + OverdueTime(state, it, context)) {
       overdue.push_back(it.number);
     }
   }
--- a/libs/settings/include/gooseberryrock/settings/tier_intervals.h
+++ b/libs/settings/include/gooseberryrock/settings/tier_intervals.h
@@ -17,6 +17,9 @@
   // An entry node does not rely on a control VM that has not replied for this
   // long; covers two lost polls.
   Duration poll_reply_timeout;
+  // Time after which an entry node follows new routes while others gather for
+  // it. They have them within two polls.
+  Duration route_adoption_delay;
   // After a start, a control VM names the servers from its stored list for the
   // first of these times, and an entry node uses each for the second one. A
   // server that has left meanwhile may be among them, so that the sum stays
--- a/libs/settings/include/gooseberryrock/settings/tier_settings.h
+++ b/libs/settings/include/gooseberryrock/settings/tier_settings.h
@@ -35,6 +35,9 @@
   // Entry node only.
   Address caller_address;
   Address ready_address;
+  // Port at `address` for requests that one entry node passes on to another;
+  // must be the same on all nodes. 0: each entry node gathers for itself.
+  uint16_t gather_port = 0;
   // Address of the metrics endpoint. Disabled when the host is empty.
   Address metrics_address;
   unsigned cores = 1;
--- a/libs/settings/src/tier_intervals.cc
+++ b/libs/settings/src/tier_intervals.cc
@@ -22,6 +22,7 @@
 
 constexpr int kPollsInChangeTime = 12;
 constexpr int kPollsUntilReplyTimeout = 3;
+constexpr int kHalfPollsUntilAdoption = 5;
 // Parts of the contact time, in 40ths.
 constexpr int kContactTimeParts = 40;
 constexpr int kRememberedServersParts = 12;
@@ -39,6 +40,8 @@
        settings.server_drain_time / kPollsInChangeTime});
   intervals.poll_reply_timeout =
       intervals.poll_interval * kPollsUntilReplyTimeout;
+  intervals.route_adoption_delay =
+      intervals.poll_interval * kHalfPollsUntilAdoption / 2;
   const Duration part = settings.contact_time / kContactTimeParts;
   intervals.remembered_servers_time =
       std::min(kMaxRememberedServersTime, part * kRememberedServersParts);
--- a/libs/settings/src/tier_settings.cc
+++ b/libs/settings/src/tier_settings.cc
@@ -19,6 +19,7 @@
 
 constexpr Range kClusterKeyLength = {32, 256};
 constexpr Range kPort = {1, 65535};
+constexpr Range kOptionalPort = {0, 65535};
 constexpr Range kStringLength = {0, 4096};
 constexpr Range kCores = {1, 256};
 constexpr Range kToleratedLosses = {0, 5};
@@ -150,6 +151,11 @@
       ReadAddressString(root, "control_address", control);
   settings.caller_address = ReadAddressString(root, "caller_address", entry);
   settings.ready_address = ReadAddressString(root, "ready_address", entry);
+  settings.gather_port = static_cast<uint16_t>(
+      ReadInteger(root, "gather_port", Presence::kOptional, kOptionalPort, 0));
+  if (settings.gather_port != 0 && settings.gather_port == settings.peer_port) {
+    AddProblem(root, "gather_port", "must differ from peer_port");
+  }
   settings.metrics_address =
       ReadAddressString(root, "metrics_address", Presence::kOptional);
   settings.cores = static_cast<unsigned>(
--- a/tests/process/tier_cluster.cc
+++ b/tests/process/tier_cluster.cc
@@ -24,6 +24,7 @@
 
 constexpr size_t kShards = 3;
 constexpr uint16_t kPeerPort = 21740;
+constexpr uint16_t kGatherPort = 21755;
 constexpr uint16_t kControlPort = 21224;
 constexpr uint16_t kCallerPort = 21226;
 constexpr uint16_t kReadyPort = 21227;
@@ -50,7 +51,7 @@
 
 constexpr size_t kServers = (kShards + 1) * kServersPerService;
 
-json MakeRoutesDocument(uint64_t version) {
+json MakeRoutesDocument(uint64_t version, uint32_t connection_limit) {
   json shards = json::array();
   json services = json::array();
   for (size_t i = 0; i <= kShards; ++i) {
@@ -58,7 +59,7 @@
     if (i < kShards) {
       shards.push_back(name);
     }
-    services.push_back({{"name", name}, {"max_connections", 30}});
+    services.push_back({{"name", name}, {"max_connections", connection_limit}});
   }
   const auto route = [](const std::string& name, const std::string& prefix) {
     return json{{"name", name},          {"hostname", "h"},
@@ -81,7 +82,8 @@
 
 }  // namespace
 
-TierCluster::TierCluster(const std::string& folder) : folder_(folder) {
+TierCluster::TierCluster(const std::string& folder, TierOptions options)
+    : folder_(folder), options_(options) {
   std::filesystem::remove_all(folder_);
   std::filesystem::create_directories(folder_);
   for (size_t i = 0; i < kServers; ++i) {
@@ -122,6 +124,7 @@
       {"failure_domain",
        FailureDomainName(static_cast<size_t>(host.back() - '1'))},
       {"peer_port", kPeerPort},
+      {"gather_port", kGatherPort},
       {"first_start", first_start},
       {"data_folder", data_folder},
       {"control_address", host + ":" + std::to_string(kControlPort)},
@@ -244,7 +247,7 @@
       const json body = {
           {"service", ServiceName(i)},
           {"address", "127.0.0.1:" + std::to_string(servers_[i]->port())},
-          {"zone", FailureDomainName(i)},
+          {"zone", FailureDomainName(options_.servers_in_first_domain ? 0 : i)},
           {"concurrency_limit", 4},
           {"state", "ready"},
           {"sequence", sequence},
@@ -308,12 +311,15 @@
 std::optional<transport::Response> TierCluster::SendRequest(
     size_t entry,
     const std::string& method,
-    const std::string& path) {
+    const std::string& path,
+    Duration timeout) {
   transport::Request request(http::string_to_verb(method), path, 11);
   request.set("Host", "h");
   request.set("X-Request-Id", "r" + std::to_string(next_request_++));
-  request.set("X-Deadline-Ms", "1500");
-  return Call(EntryHost(entry), kCallerPort, std::move(request));
+  const auto patience =
+      std::chrono::duration_cast<milliseconds>(timeout) - milliseconds(500);
+  request.set("X-Deadline-Ms", std::to_string(patience.count()));
+  return Call(EntryHost(entry), kCallerPort, std::move(request), timeout);
 }
 
 std::string TierCluster::EntryMetrics(size_t i) {
@@ -331,7 +337,8 @@
 }
 
 bool TierCluster::PutRoutes(uint64_t version) {
-  const std::string body = MakeRoutesDocument(version).dump();
+  const std::string body =
+      MakeRoutesDocument(version, options_.connection_limit).dump();
   for (int i = 0; i < 40; ++i) {
     const auto reply = CallControl(static_cast<size_t>(i) % kControlVms, "POST",
                                    "/v1/config/replace", body);
--- a/tests/process/tier_cluster.h
+++ b/tests/process/tier_cluster.h
@@ -26,10 +26,18 @@
 inline constexpr size_t kEntryNodes = 2;
 inline constexpr size_t kServersPerService = 2;
 
+struct TierOptions {
+  // Connections that each server accepts from all nodes.
+  uint32_t connection_limit = 30;
+  // All servers are in the failure domain of the first entry node, instead of
+  // in each domain in turn.
+  bool servers_in_first_domain = false;
+};
+
 class TierCluster {
  public:
   // Clears `folder` and starts the processes with their files in it.
-  explicit TierCluster(const std::string& folder);
+  explicit TierCluster(const std::string& folder, TierOptions options = {});
   TierCluster(const TierCluster&) = delete;
   TierCluster& operator=(const TierCluster&) = delete;
   ~TierCluster();
@@ -55,10 +63,13 @@
                                                  const std::string& method,
                                                  const std::string& path,
                                                  const std::string& body = "");
-  // Sends a caller's request with a new request id.
-  std::optional<transport::Response> SendRequest(size_t entry,
-                                                 const std::string& method,
-                                                 const std::string& path);
+  // Sends a caller's request with a new request id. The caller waits for the
+  // response for `timeout`, and half a second less according to the request.
+  std::optional<transport::Response> SendRequest(
+      size_t entry,
+      const std::string& method,
+      const std::string& path,
+      Duration timeout = std::chrono::seconds(2));
 
   // Submits routes with `version` to the control VMs in turn until one
   // acknowledges them.
@@ -112,6 +123,7 @@
   void RunAnnouncer();
 
   const std::string folder_;
+  const TierOptions options_;
   transport::IoThread io_;
   std::mutex mutex_;
   // Guarded by `mutex_`.
--- a/tests/relay/relay_simulation.cc
+++ b/tests/relay/relay_simulation.cc
@@ -72,6 +72,9 @@
                           0,
                           {}});
     }
+    if (options_.extra_attempts) {
+      policy_.extra_attempts = *options_.extra_attempts;
+    }
     for (size_t n = 0; n < nodes_.size(); ++n) {
       MakePools(n);
     }
@@ -99,6 +102,9 @@
   void MakePools(size_t node) {
     for (size_t shard = 0; shard < options_.shards; ++shard) {
       ServicePool pool = MakePool({"s" + std::to_string(shard)}, policy_);
+      if (options_.extra_attempts) {
+        SetBudgetShare(pool, policy_, static_cast<uint32_t>(nodes_.size()));
+      }
       for (size_t i = 0; i < options_.servers_per_shard; ++i) {
         PoolServer& server = pool.servers.emplace_back();
         server.id = {std::to_string(shard * options_.servers_per_shard + i)};
@@ -170,6 +176,7 @@
       return;
     }
     ++result_.in_time;
+    result_.complete += answer->missing_shards == 0 ? 1 : 0;
     const double coverage = static_cast<double>(answer->digests.size()) /
                             static_cast<double>(options_.shards);
     result_.value += coverage * coverage;
@@ -213,6 +220,12 @@
            options_.paused(it.shard, it.index, now_ - kStart);
   }
 
+  bool IsReplyLost(const Server& it) {
+    std::uniform_real_distribution<double> chance(0, 1);
+    return options_.lost &&
+           chance(random_) < options_.lost(it.shard, it.index, now_ - kStart);
+  }
+
   Duration RestOf(const Server& it) const {
     return options_.rest ? options_.rest(it.shard, it.index, now_ - kStart)
                          : Duration::zero();
@@ -247,6 +260,9 @@
     }
     --server.running;
     ServerReply reply = MakeReply(ReplyKind::kSuccess);
+    if (IsReplyLost(server)) {
+      reply.kind = ReplyKind::kUnusable;
+    }
     reply.load = server.running + static_cast<uint32_t>(server.waiting.size());
     reply.request_limit = LimitOf(server);
     reply.leaving = options_.leaving &&
@@ -288,9 +304,12 @@
       --server.stats.overdue;
     }
     const bool answered = reply.kind == ReplyKind::kSuccess;
+    const bool is_lost = reply.kind == ReplyKind::kUnusable;
     RecordResult(
         server.stats, policy_,
-        answered ? AttemptResult::kAnswered : AttemptResult::kRefused,
+        answered  ? AttemptResult::kAnswered
+        : is_lost ? AttemptResult::kLost
+                  : AttemptResult::kRefused,
         flight.sent_at,
         TypicalTime(*flight.pool, policy_, route_.rank, route_.target_latency),
         now_);
@@ -305,6 +324,11 @@
     if (request->state->finished) {
       return;
     }
+    if (is_lost) {
+      Apply(request,
+            OnAttemptFailed(*request->state, number, {policy_, random_}, now_));
+      return;
+    }
     Apply(request, OnAttemptReply(*request->state, number, std::move(reply),
                                   {policy_, random_}, now_));
   }
--- a/tests/relay/relay_simulation.h
+++ b/tests/relay/relay_simulation.h
@@ -7,9 +7,11 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "gooseberryrock/base/time.h"
+#include "gooseberryrock/relay/extra_attempt_limit.h"
 
 namespace gooseberryrock::relay {
 
@@ -22,7 +24,10 @@
   Duration work = std::chrono::milliseconds(11);
   Duration target = std::chrono::milliseconds(100);
   Duration length = std::chrono::seconds(20);
+  // Nodes that send requests to the servers, and the limit on extra attempts
+  // that they share; without a limit each has the default budget.
   size_t nodes = 4;
+  std::optional<ExtraAttemptLimit> extra_attempts;
   double minimum_coverage = 0.89;
   // Baseline: no load balancing, no hedging, and all shards are required.
   bool baseline = false;
@@ -36,6 +41,9 @@
   std::function<Duration(size_t shard, size_t server, Duration at)> rest;
   // Whether a server says in its replies that it leaves.
   std::function<bool(size_t shard, size_t server, Duration at)> leaving;
+  // The fraction of a server's replies at a given time that are lost with their
+  // connection.
+  std::function<double(size_t shard, size_t server, Duration at)> lost;
   // Whether a server is paused at a given time; it resumes its requests
   // afterwards.
   std::function<bool(size_t shard, size_t server, Duration at)> paused;
@@ -50,8 +58,10 @@
 
 struct SimulationResult {
   size_t requests = 0;
-  // Number of requests answered within the target.
+  // Number of requests answered within the target, and those of them with all
+  // shards.
   size_t in_time = 0;
+  size_t complete = 0;
   // Sum of the squared coverage of the answers within the target.
   double value = 0;
   size_t refused = 0;
@@ -61,6 +71,9 @@
   // The attempts that each server received.
   std::map<size_t, std::vector<SimulatedArrival>> arrivals;
 
+  double CompleteShare() const {
+    return static_cast<double>(complete) / static_cast<double>(requests);
+  }
   double Value() const { return value / static_cast<double>(requests); }
 };
 
