relay, tests: divide the request machine and the tests of gathering nodes

Change: admission of shards, the count of parts and the making of a state are in files of their own, and so are the tests of gathering nodes. No behaviour changes.

--- a/libs/relay/src/request_machine.cc
+++ b/libs/relay/src/request_machine.cc
@@ -6,12 +6,13 @@
 #include <string_view>
 #include <utility>
 
+#include "gathered_parts.h"
 #include "gooseberryrock/relay/choose_server.h"
-#include "gooseberryrock/relay/gather.h"
 #include "gooseberryrock/relay/relay_policy.h"
 #include "gooseberryrock/relay/server_reply.h"
 #include "refusal.h"
 #include "scale.h"
+#include "shard_admission.h"
 
 namespace gooseberryrock::relay {
 
@@ -20,8 +21,6 @@
 // Refused attempts after which a part of the request is not retried: the usual
 // number of servers of a service.
 constexpr uint32_t kMaxRefusals = 3;
-// Minimum retry delay under overload: the time to work off a few requests.
-constexpr Duration kMinOverloadDelay = std::chrono::milliseconds(50);
 
 enum class ServerFilter { kAnyServer, kHealthyServers };
 
@@ -76,13 +75,6 @@
                       state.route->rank, state.route->target_latency);
 }
 
-Selection SelectionOf(const RequestState& state) {
-  Selection selection;
-  selection.rank = state.route->rank;
-  selection.target_latency = state.route->target_latency;
-  return selection;
-}
-
 // Starts another attempt for the part. Returns false if no server is available.
 bool AddAttempt(RequestState& state,
                 size_t index,
@@ -114,13 +106,6 @@
   return true;
 }
 
-void FailPart(RequestState& state, RequestPart& part) {
-  if (!part.failed && !part.answered) {
-    part.failed = true;
-    ++state.parts_failed;
-  }
-}
-
 // The server of an attempt that was sent did not run it.
 void CountRefusal(RequestPart& part) {
   --part.sends;
@@ -151,48 +136,6 @@
   effects.outcome = std::move(outcome);
 }
 
-size_t ShardCount(const RequestPart& part) {
-  return std::max<size_t>(part.group.size(), 1);
-}
-
-// Number of shards that have answered.
-size_t CountAnswered(const RequestState& state) {
-  size_t n = 0;
-  for (const RequestPart& it : state.parts) {
-    n += it.digests.size();
-  }
-  return n;
-}
-
-// Number of shards that have answered or may still do so.
-size_t CountAvailable(const RequestState& state) {
-  size_t n = 0;
-  for (const RequestPart& it : state.parts) {
-    n += it.failed ? it.digests.size() : ShardCount(it);
-  }
-  return n;
-}
-
-GatheredOutcome MakeGatheredOutcome(const RequestState& state,
-                                    bool settled_early) {
-  std::vector<std::string_view> bodies;
-  GatheredOutcome outcome;
-  size_t shards = 0;
-  for (const RequestPart& part : state.parts) {
-    shards += ShardCount(part);
-    if (!part.digests.empty()) {
-      bodies.push_back(part.body);
-      outcome.digests.insert(outcome.digests.end(), part.digests.begin(),
-                             part.digests.end());
-    }
-  }
-  outcome.body = TopRecords(bodies, state.top_records);
-  outcome.missing_shards =
-      static_cast<uint32_t>(shards - outcome.digests.size());
-  outcome.settled_early = settled_early;
-  return outcome;
-}
-
 // A request that no gathering node has acknowledged may be gathered again: the
 // attempts that were sent count as unacknowledged.
 void GiveUpUnacknowledged(RequestState& state, RequestEffects& effects) {
@@ -339,122 +282,8 @@
   }
 }
 
-void SkipPart(RequestState& state, RequestPart& part) {
-  part.skipped = true;
-  FailPart(state, part);
-}
-
-// Whether to leave out a shard whose servers failed recently. A node that
-// gathers for another one tries them all the same once enough shards are left
-// out, unless they are down: servers that lose a part of their replies answer
-// more often than not.
-bool MaySkipUnavailable(const RequestState& state, const RequestPart& part) {
-  constexpr uint32_t kFailuresOfLostServer = 3;
-  return !state.reports_progress || state.parts_failed < state.max_skipped ||
-         std::all_of(part.pool->servers.begin(), part.pool->servers.end(),
-                     [](const PoolServer& it) {
-                       return !it.AcceptsWork() ||
-                              it.stats.consecutive_failures >=
-                                  kFailuresOfLostServer;
-                     });
-}
-
-// Leaves out the shards that do not respond, and the slowest of those that are
-// expected to take too long, as far as the minimum coverage allows.
-void SkipShards(RequestState& state, RelayContext context, SteadyTime now) {
-  const Duration max_expected =
-      Scale(state.route->target_latency,
-            context.policy.max_expected_share[RankIndex(state.route->rank)]);
-  const Selection selection = SelectionOf(state);
-  std::vector<std::pair<Duration, RequestPart*>> busy;
-  for (RequestPart& it : state.parts) {
-    if (IsUnavailable(*it.pool, state.route->rank, now) &&
-        MaySkipUnavailable(state, it)) {
-      SkipPart(state, it);
-      continue;
-    }
-    const Duration expected =
-        MinExpectedTime(*it.pool, context.policy, selection, now);
-    if (expected > max_expected && expected < Duration::max()) {
-      busy.emplace_back(expected, &it);
-    }
-  }
-  std::sort(busy.rbegin(), busy.rend());
-  for (const auto& [expected, part] : busy) {
-    if (state.parts_failed >= state.max_skipped) {
-      return;
-    }
-    SkipPart(state, *part);
-  }
-}
-
-// Returns the retry delay if the request cannot be answered in time.
-std::optional<Duration> OverloadRetryDelay(const RequestState& state,
-                                           RelayContext context,
-                                           SteadyTime now) {
-  const Selection selection = SelectionOf(state);
-  std::vector<Duration> expected_times;
-  for (const RequestPart& it : state.parts) {
-    const Duration expected =
-        MinExpectedTime(*it.pool, context.policy, selection, now);
-    if (!it.skipped && expected < Duration::max()) {
-      expected_times.push_back(expected);
-    }
-  }
-  if (expected_times.empty()) {
-    return std::nullopt;
-  }
-  // For another node, a few busy shards are no reason to refuse the others: it
-  // may have enough of them, or answer late.
-  const size_t decisive = state.reports_progress
-                              ? expected_times.size() / 2
-                              : expected_times.size() - 1;
-  std::nth_element(expected_times.begin(),
-                   expected_times.begin() + static_cast<ptrdiff_t>(decisive),
-                   expected_times.end());
-  const Duration longest = expected_times[decisive];
-  // A request that was parked until the node knew its servers may be past its
-  // target latency; a late answer is still useful then.
-  const Duration left =
-      (now < state.partial_answer_at ? state.partial_answer_at
-                                     : state.answer_deadline) -
-      now;
-  if (longest <= left) {
-    return std::nullopt;
-  }
-  // Randomized so that callers refused at the same time do not retry at the
-  // same time.
-  std::uniform_real_distribution<double> spread(1.0, 2.0);
-  return Scale(std::max(longest - left, kMinOverloadDelay),
-               spread(context.random));
-}
-
 }  // namespace
 
-RequestState MakeRequest(const routes::Route& route,
-                         const std::vector<ServicePool*>& pools,
-                         const RelayPolicy& policy,
-                         SteadyTime received,
-                         SteadyTime caller_deadline) {
-  RequestState state;
-  state.route = &route;
-  state.received = received;
-  state.attempts = route.attempts;
-  state.partial_answer_at =
-      received + route.target_latency - policy.answer_margin;
-  state.answer_deadline = std::min(caller_deadline - policy.answer_margin,
-                                   received + route.timeout);
-  for (ServicePool* it : pools) {
-    state.parts.emplace_back().pool = it;
-  }
-  if (const auto* sharded = std::get_if<routes::ShardedTarget>(&route.target)) {
-    state.top_records = sharded->top_records;
-    state.min_shards = MinShards(pools.size(), sharded->minimum_coverage);
-    state.max_skipped = pools.size() - std::min(pools.size(), state.min_shards);
-  }
-  return state;
-}
-
 RequestEffects StartRequest(RequestState& state,
                             RelayContext context,
                             SteadyTime now) {
@@ -539,17 +368,6 @@
   return effects;
 }
 
-const RequestPart& PartOf(const RequestState& state, AttemptNumber attempt) {
-  const auto it = std::find_if(
-      state.attempts_in_flight.begin(), state.attempts_in_flight.end(),
-      [attempt](const RequestAttempt& n) { return n.number == attempt; });
-  return state.parts[it->part];
-}
-
-GatheredOutcome Progress(const RequestState& state) {
-  return MakeGatheredOutcome(state, /*settled_early=*/true);
-}
-
 RequestEffects OnAttemptReply(RequestState& state,
                               AttemptNumber number,
                               ServerReply reply,
--- a/tests/process/tier_cluster.cc
+++ b/tests/process/tier_cluster.cc
@@ -376,4 +376,12 @@
   return executions_;
 }
 
+std::optional<double> MetricValue(const std::string& page,
+                                  const std::string& name) {
+  const size_t at = page.find("\n" + name + " ");
+  return at == std::string::npos
+             ? std::nullopt
+             : std::optional(std::stod(page.substr(at + name.size() + 2)));
+}
+
 }  // namespace gooseberryrock::process_test
--- a/tests/process/tier_cluster.h
+++ b/tests/process/tier_cluster.h
@@ -142,6 +142,11 @@
   std::thread announcer_;
 };
 
+// Returns the value of the metric `name`, which includes its labels, on a page;
+// nullopt when the page does not contain it.
+std::optional<double> MetricValue(const std::string& page,
+                                  const std::string& name);
+
 }  // namespace gooseberryrock::process_test
 
 #endif  // GOOSEBERRYROCK_TESTS_PROCESS_TIER_CLUSTER_H_
