--- a/tests/settings/tier_settings_test.cc
+++ b/tests/settings/tier_settings_test.cc
@@ -60,6 +60,7 @@
               bound);
     EXPECT_LT(intervals.peer_heartbeat_timeout, bound);
     EXPECT_LT(intervals.poll_interval + intervals.poll_reply_timeout, bound);
+    EXPECT_LT(intervals.poll_interval + intervals.route_adoption_delay, bound);
   }
 }
 
@@ -74,6 +75,17 @@
   EXPECT_EQ(intervals.remembered_server_lifetime, milliseconds(2500));
   EXPECT_EQ(intervals.peer_heartbeat_timeout, milliseconds(1500));
   EXPECT_EQ(intervals.control_drain_time, milliseconds(2000));
+  EXPECT_EQ(intervals.route_adoption_delay, milliseconds(625));
+}
+
+// Guards against a gather port that the peer socket already uses or that does
+// not exist, and against passing requests on where no port is named.
+TEST_F(TierSettingsTest, GatherPortIsChecked) {
+  EXPECT_EQ(Load("").gather_port, 0);
+  EXPECT_EQ(Load(R"(, "gather_port": 7002)").gather_port, 7002);
+  EXPECT_THROW(Load(R"(, "gather_port": 7000)"), SettingsError);
+  EXPECT_THROW(Load(R"(, "gather_port": 65536)"), SettingsError);
+  EXPECT_THROW(Load(R"(, "gather_port": -1)"), SettingsError);
 }
 
 }  // namespace
