--- a/tests/relay/gather_nodes_test.cc
+++ b/tests/relay/gather_nodes_test.cc
@@ -23,6 +23,7 @@
 
 std::vector<NodeId> Nodes(const std::string& domain, int n) {
   std::vector<NodeId> nodes;
+  nodes.reserve(static_cast<size_t>(n));
   for (int i = 0; i < n; ++i) {
     nodes.push_back({domain + std::to_string(i)});
   }
