--- a/tests/entry/gather_messages_test.cc
+++ b/tests/entry/gather_messages_test.cc
@@ -16,7 +16,7 @@
 
 transport::Request MakeCall(const GatherCall& call) {
   transport::Request request(boost::beast::http::verb::get, "/a/", 11);
-  request.set("X-Request-Id", "r1");
+  request.set("User-Agent", "caller");
   SetGatherCall(request, call);
   return request;
 }
