entry, relay: count the gathering nodes by their reservation

Cause: the last reading of the change found the nodes that gather counted in two loops, and a field cleared that only requests to servers read. Change: both use directory::CountNodes(); MakeForward() leaves max_skipped alone, since SkipShards() is not called for requests that are passed on. No behaviour changes.

--- a/libs/entry/src/entry_shard.cc
+++ b/libs/entry/src/entry_shard.cc
@@ -272,9 +272,7 @@
   std::lock_guard lock(mutex_);
   const SteadyTime now = BootTime();
   ShardCounts counts;
-  for (const auto& [domain, nodes] : gather_nodes_) {
-    counts.gather_nodes += nodes.size();
-  }
+  counts.gather_nodes = directory::CountNodes(gather_plan_.reservation);
   counts.requests_in_flight = active_.size();
   for (const auto& [service, pool] : pools_) {
     for (const relay::PoolServer& it : pool.servers) {
--- a/libs/entry/src/entry_shard_gather.cc
+++ b/libs/entry/src/entry_shard_gather.cc
@@ -295,21 +295,20 @@
   gather_nodes_ = std::move(chosen);
   gather_plan_ = {};
   gather_plan_.place.domain = plan_.place.domain;
-  bool gathers = false;
-  size_t n = 0;
+  gathers_ = false;
   for (const auto& [domain, nodes] : gather_nodes_) {
     gather_plan_.reservation[domain] = static_cast<uint32_t>(nodes.size());
-    n += nodes.size();
     const auto self = std::find(nodes.begin(), nodes.end(), plan_.self);
     if (domain == plan_.place.domain && self != nodes.end()) {
       gather_plan_.place.position = static_cast<uint32_t>(self - nodes.begin());
-      gathers = true;
+      gathers_ = true;
     }
   }
-  gathers_ = gathers;
   telemetry::LogEvent(
       LogLevel::kInfo, "gather_nodes_changed",
-      {{"nodes", std::to_string(n)}, {"gathers", gathers ? "true" : "false"}});
+      {{"nodes",
+        std::to_string(directory::CountNodes(gather_plan_.reservation))},
+       {"gathers", gathers_ ? "true" : "false"}});
   UpdateGatherPool();
   ApplyAllShares();
 }
--- a/libs/relay/src/gather_nodes.cc
+++ b/libs/relay/src/gather_nodes.cc
@@ -162,7 +162,6 @@
   }
   const auto& target = std::get<routes::ShardedTarget>(route.target);
   state.min_shards = MinShards(shards, target.minimum_coverage);
-  state.max_skipped = 0;
   // The gathering nodes use the attempts of the route.
   state.attempts = 1;
   state.max_unacknowledged = route.attempts - std::min(route.attempts, 1U);
