peer, control: drop replies to an earlier process of a node

Callers of a control VM that was killed and restarted could read a config that is older than a confirmed one, and a change could be confirmed by the reply to another one.

Cause: replies to calls that a control VM forwards to the leader are matched by a correlation id, which starts at 1 in each process. The send queue of the leader keeps a reply while the connection to its receiver is down, so that the next process there gets it and has a call with the same id.

Change: PeerSocket::Reply() names the incarnation of the process that made the request, and other processes drop the frame. Replies to forwarded calls and to the polls of entry nodes use it. A correlation id is then compared only within the process that chose it. Frames without the field are accepted, so that nodes of the earlier release can be upgraded one at a time.

--- a/libs/control/include/gooseberryrock/control/control_client.h
+++ b/libs/control/include/gooseberryrock/control/control_client.h
@@ -18,6 +18,10 @@
 #include "gooseberryrock/base/time.h"
 #include "peer.pb.h"
 
+namespace gooseberryrock::peer {
+struct PeerProcess;
+}  // namespace gooseberryrock::peer
+
 namespace gooseberryrock::control {
 
 class ReplicatedLog;
@@ -47,8 +51,8 @@
  public:
   using RequestSender =
       std::function<void(const NodeId& to, const proto::ForwardRequest&)>;
-  using ReplySender =
-      std::function<void(const NodeId& to, const proto::ForwardReply&)>;
+  using ReplySender = std::function<void(const peer::PeerProcess& to,
+                                         const proto::ForwardReply&)>;
   // Handles a read call; returns an encoded ForwardReply.
   using Reader = std::function<std::string(const proto::ForwardRequest&)>;
 
@@ -66,8 +70,9 @@
 
   // Handles an encoded call that another node forwards to this control VM.
   // Throws MalformedMessageError.
-  void OnRequestFrame(const NodeId& from, const std::string& body);
-  // Handles an encoded reply to a forwarded call. Throws MalformedMessageError.
+  void OnRequestFrame(const peer::PeerProcess& from, const std::string& body);
+  // Handles an encoded reply to a call that this process forwarded. Throws
+  // MalformedMessageError.
   void OnReplyFrame(const std::string& body);
 
  private:
@@ -93,6 +98,7 @@
 
   mutable std::mutex mutex_;
   // Guarded by `mutex_`.
+  // By correlation id. The ids are unique within this process only.
   std::map<uint64_t, PendingCall> pending_calls_;
   uint64_t next_correlation_id_ = 1;
   NodeId leader_;
--- a/libs/control/src/control_client.cc
+++ b/libs/control/src/control_client.cc
@@ -8,6 +8,7 @@
 #include "control.pb.h"
 #include "gooseberryrock/base/clock.h"
 #include "gooseberryrock/control/replicated_log.h"
+#include "gooseberryrock/peer/peer_process.h"
 #include "gooseberryrock/proto/binary_codec.h"
 
 namespace gooseberryrock::control {
@@ -225,7 +226,7 @@
   }
 }
 
-void ControlClient::OnRequestFrame(const NodeId& from,
+void ControlClient::OnRequestFrame(const peer::PeerProcess& from,
                                    const std::string& body) {
   ExecuteLocally(proto::Parse<proto::ForwardRequest>(body),
                  [this, from](const proto::ForwardReply& reply) {
--- a/libs/control/src/control_node.cc
+++ b/libs/control/src/control_node.cc
@@ -28,6 +28,7 @@
 #include "gooseberryrock/monitoring/peer_counters.h"
 #include "gooseberryrock/peer/frame.h"
 #include "gooseberryrock/peer/incarnation.h"
+#include "gooseberryrock/peer/peer_process.h"
 #include "gooseberryrock/peer/peer_socket.h"
 #include "gooseberryrock/proto/binary_codec.h"
 #include "gooseberryrock/proto/malformed_message_error.h"
@@ -140,9 +141,9 @@
           socket->Send(to, peer::FrameKind::kForwardRequest,
                        it.SerializeAsString());
         },
-        [this](const NodeId& to, const proto::ForwardReply& it) {
-          socket->Send(to, peer::FrameKind::kForwardReply,
-                       it.SerializeAsString());
+        [this](const peer::PeerProcess& to, const proto::ForwardReply& it) {
+          socket->Reply(to, peer::FrameKind::kForwardReply,
+                        it.SerializeAsString());
         },
         [this](const proto::ForwardRequest& /*call*/) {
           return StoredRoutesReply();
@@ -309,7 +310,7 @@
         log->OnMessage(frame.body);
         break;
       case peer::FrameKind::kForwardRequest:
-        client->OnRequestFrame(frame.sender, frame.body);
+        client->OnRequestFrame({frame.sender, frame.incarnation}, frame.body);
         break;
       case peer::FrameKind::kForwardReply:
         client->OnReplyFrame(frame.body);
@@ -374,8 +375,8 @@
         reply.mutable_routes()->set_compressed_text(routes.compressed_text);
       }
     }
-    socket->Send(frame.sender, peer::FrameKind::kEntryPollReply,
-                 reply.SerializeAsString());
+    socket->Reply({frame.sender, frame.incarnation},
+                  peer::FrameKind::kEntryPollReply, reply.SerializeAsString());
   }
 
   void AddEntryNodes(const proto::EntryPoll& poll,
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -35,6 +35,7 @@
 #include "gooseberryrock/node/service_views.h"
 #include "gooseberryrock/peer/frame.h"
 #include "gooseberryrock/peer/incarnation.h"
+#include "gooseberryrock/peer/peer_process.h"
 #include "gooseberryrock/peer/peer_socket.h"
 #include "gooseberryrock/peer/peer_stats.h"
 #include "gooseberryrock/proto/binary_codec.h"
@@ -213,9 +214,9 @@
           socket.Send(to, peer::FrameKind::kForwardRequest,
                       it.SerializeAsString());
         },
-        [this](const NodeId& to, const proto::ForwardReply& it) {
-          socket.Send(to, peer::FrameKind::kForwardReply,
-                      it.SerializeAsString());
+        [this](const peer::PeerProcess& to, const proto::ForwardReply& it) {
+          socket.Reply(to, peer::FrameKind::kForwardReply,
+                       it.SerializeAsString());
         },
         [this](const proto::ForwardRequest& /*call*/) {
           return ReadCatalog();
@@ -365,10 +366,10 @@
     }
     dispatcher.Register(FrameKind::kCrashSuspicion,
                         [this](const auto& it) { OnCrashSuspicion(it); });
-    dispatcher.Register(FrameKind::kForwardRequest,
-                        [this](const peer::PeerFrame& it) {
-                          control->OnRequestFrame(it.sender, it.body);
-                        });
+    dispatcher.Register(
+        FrameKind::kForwardRequest, [this](const peer::PeerFrame& it) {
+          control->OnRequestFrame({it.sender, it.incarnation}, it.body);
+        });
     dispatcher.Register(
         FrameKind::kForwardReply,
         [this](const peer::PeerFrame& it) { control->OnReplyFrame(it.body); });
--- a/libs/peer/include/gooseberryrock/peer/frame.h
+++ b/libs/peer/include/gooseberryrock/peer/frame.h
@@ -31,6 +31,8 @@
   // Increases with each frame from this sender to this receiver.
   uint64_t sequence = 0;
   NodeId receiver;
+  // The process of `receiver` that the frame is for; 0 if it is for any.
+  uint64_t receiver_incarnation = 0;
   FrameKind kind = FrameKind::kConsensus;
   std::string body;
 
--- a/libs/peer/include/gooseberryrock/peer/peer_socket.h
+++ b/libs/peer/include/gooseberryrock/peer/peer_socket.h
@@ -26,6 +26,7 @@
 namespace gooseberryrock::peer {
 
 struct PeerFrame;
+struct PeerProcess;
 
 // Numeric IP address and TCP port on which a node receives frames.
 struct PeerAddress {
@@ -76,6 +77,9 @@
   // Queues a frame. Thread-safe; may be called from the handler. Throws
   // FrameError if the frame would exceed 4 MiB.
   void Send(const NodeId& node, FrameKind kind, std::string body);
+  // As Send(), for a reply: other processes of `receiver` drop the frame. The
+  // send queue may outlive the process that made the request.
+  void Reply(const PeerProcess& receiver, FrameKind kind, std::string body);
 
   // Drops all frames from (kIncoming) or to (kOutgoing) `node`. Used by tests
   // to simulate network partitions.
--- a/libs/peer/include/gooseberryrock/peer/peer_stats.h
+++ b/libs/peer/include/gooseberryrock/peer/peer_stats.h
@@ -19,6 +19,8 @@
   std::array<uint64_t, kFrameFaultCount> refused{};
   // Frames from an earlier incarnation of their sender.
   uint64_t stale_incarnation = 0;
+  // Replies to an earlier process of this node.
+  uint64_t stale_replies = 0;
   // Frames whose sequence number does not exceed the last one of their sender.
   uint64_t replayed = 0;
   // Frames dropped because the send queue of their receiver was full.
--- a/libs/peer/src/frame.cc
+++ b/libs/peer/src/frame.cc
@@ -33,6 +33,7 @@
           message.incarnation(),
           message.sequence(),
           {std::move(*message.mutable_receiver())},
+          message.receiver_incarnation(),
           static_cast<FrameKind>(message.kind()),
           std::move(*message.mutable_body())};
 }
@@ -58,6 +59,7 @@
   message.set_incarnation(frame.incarnation);
   message.set_sequence(frame.sequence);
   message.set_receiver(frame.receiver.value);
+  message.set_receiver_incarnation(frame.receiver_incarnation);
   message.set_kind(static_cast<uint32_t>(frame.kind));
   message.set_body(frame.body);
   return SealBytes(message.SerializeAsString(), key);
--- a/libs/peer/src/peer_socket.cc
+++ b/libs/peer/src/peer_socket.cc
@@ -19,6 +19,7 @@
 
 #include "gooseberryrock/base/clock.h"
 #include "gooseberryrock/peer/frame.h"
+#include "gooseberryrock/peer/peer_process.h"
 #include "gooseberryrock/peer/peer_socket_error.h"
 
 namespace gooseberryrock::peer {
@@ -304,6 +305,11 @@
     }
     sender.sequence = frame.sequence;
     sender.last_frame_at = now;
+    if (frame.receiver_incarnation != 0 &&
+        frame.receiver_incarnation != options.incarnation) {
+      ++stats.stale_replies;
+      return false;
+    }
     ++stats.received_frames;
     stats.received_bytes += frame_size;
     return true;
@@ -378,22 +384,28 @@
 }
 
 void PeerSocket::Send(const NodeId& node, FrameKind kind, std::string body) {
+  Reply({node, 0}, kind, std::move(body));
+}
+
+void PeerSocket::Reply(const PeerProcess& receiver,
+                       FrameKind kind,
+                       std::string body) {
   std::lock_guard lock(impl_->mutex);
-  if (impl_->blocked_outgoing.contains(node)) {
+  if (impl_->blocked_outgoing.contains(receiver.node)) {
     ++impl_->stats.blocked;
     return;
   }
-  auto it = impl_->send_queues.find(node);
+  auto it = impl_->send_queues.find(receiver.node);
   if (it == impl_->send_queues.end() || it->second.remove) {
     ++impl_->stats.unknown_receiver;
     return;
   }
   SendQueue& queue = it->second;
-  std::string frame =
-      SealFrame({impl_->options.cluster, kProtocolVersion,
-                 impl_->options.self.node, impl_->options.incarnation,
-                 queue.sequence + 1, node, kind, std::move(body)},
-                impl_->key);
+  std::string frame = SealFrame(
+      {impl_->options.cluster, kProtocolVersion, impl_->options.self.node,
+       impl_->options.incarnation, queue.sequence + 1, receiver.node,
+       receiver.incarnation, kind, std::move(body)},
+      impl_->key);
   ++queue.sequence;
   queue.bytes += frame.size();
   queue.frames.push_back(std::move(frame));
--- a/tests/directory/directory_bench.cc
+++ b/tests/directory/directory_bench.cc
@@ -61,7 +61,7 @@
     const peer::PeerFrame frame{
         "salon", peer::kProtocolVersion, simulation_.nodes[message.from].id,
         // An incarnation is a wall-clock time in milliseconds.
-        1700000000000, 1000000, simulation_.nodes[message.to].id,
+        1700000000000, 1000000, simulation_.nodes[message.to].id, 0,
         FrameKind::kDirectoryDelta,
         std::visit([](const auto& body) { return Encode(body); },
                    message.body)};
--- a/tests/peer/decoder_fuzz_test.cc
+++ b/tests/peer/decoder_fuzz_test.cc
@@ -52,7 +52,7 @@
 TEST(DecoderFuzzTest, OpenFrameAlwaysRefusesByType) {
   std::mt19937_64 rng(11);
   const PeerFrame frame{
-      "salon", 1, {"a"}, 7, 8, {"b"}, FrameKind::kConsensus, "some body"};
+      "salon", 1, {"a"}, 7, 8, {"b"}, 9, FrameKind::kConsensus, "some body"};
   const std::string good = SealFrame(frame, kKey);
   std::array<int, kFrameFaultCount> refused{};
   int unchanged = 0;
--- a/tests/peer/frame_test.cc
+++ b/tests/peer/frame_test.cc
@@ -15,7 +15,7 @@
 const FrameExpectations kExpected{"salon", {"b"}, 2};
 
 PeerFrame TestFrame() {
-  return {"salon", 2, {"a"}, 7, 8, {"b"}, FrameKind::kPeerHeartbeat, "body"};
+  return {"salon", 2, {"a"}, 7, 8, {"b"}, 9, FrameKind::kPeerHeartbeat, "body"};
 }
 
 std::optional<FrameFault> FaultOf(std::string_view bytes) {
--- a/tests/peer/peer_socket_test.cc
+++ b/tests/peer/peer_socket_test.cc
@@ -10,6 +10,7 @@
 #include <thread>
 
 #include "gooseberryrock/peer/frame.h"
+#include "gooseberryrock/peer/peer_process.h"
 #include "gooseberryrock/peer/peer_socket_error.h"
 
 namespace gooseberryrock::peer {
@@ -133,6 +134,19 @@
   EXPECT_EQ(inbox_b_.Bodies(), std::vector<std::string>{"new"});
 }
 
+// Guards against a reply to an ended process that stays in the send queue of
+// its peer and is received by the next process of the node.
+TEST_F(PeerSocketTest, DropsRepliesToEarlierProcess) {
+  b_.reset();
+  a_->AddPeer(address_b_);
+  a_->Reply({{"b"}, 5}, FrameKind::kForwardReply, "to the ended process");
+  a_->Reply({{"b"}, 6}, FrameKind::kForwardReply, "to the new process");
+  b_ = Open("b", 6, inbox_b_, address_b_.port);
+  ASSERT_TRUE(inbox_b_.WaitFor("to the new process"));
+  EXPECT_EQ(inbox_b_.Bodies(), std::vector<std::string>{"to the new process"});
+  EXPECT_EQ(b_->Stats().stale_replies, 1U);
+}
+
 // Guards against permanent rejection of a node whose incarnation is lower after
 // a restart because its clock was set back.
 TEST_F(PeerSocketTest, AcceptsRestartAfterTheClockWasSetBack) {
