gbrnode: block signals before the log's thread starts

SIGHUP or a second stop signal ended an entry node while it drained: its callers saw closed connections, also of requests that servers were running.

Cause: the writer thread of the log started before the signals were blocked and left them unblocked. While the main thread drains the node it doesn't wait for signals, and the kernel delivers them to the writer thread.

TierTest.SignalsWhileDrainingCutOffNoRequest loses its request with the earlier program.

All threads inherit the mask.

--- a/apps/node/main.cc
+++ b/apps/node/main.cc
@@ -8,6 +8,7 @@
 #include <iostream>
 #include <string>
 
+#include "block_signals.h"
 #include "gooseberryrock/base/error.h"
 #include "gooseberryrock/node/node.h"
 #include "gooseberryrock/settings/check_settings.h"
@@ -24,29 +25,26 @@
 constexpr int kExitFailure = 1;
 constexpr int kExitInvalidSettings = 2;
 
-// Blocks the stop signals in this thread and in all threads that it starts
-// afterwards, so that only sigwait() receives them.
-sigset_t BlockStopSignals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  return signals;
+// Returns when a stop signal arrives. A hang-up does not stop the node: its
+// settings are read at the start only.
+void WaitForStopSignal(const sigset_t& signals) {
+  int signal = 0;
+  while (sigwait(&signals, &signal) == 0 && signal == SIGHUP) {
+    LogEvent(LogLevel::kWarning, "settings_not_reloaded",
+             {{"message", "new settings need a restart"}});
+  }
 }
 
-int RunNode(const Settings& settings) {
+int RunNode(const Settings& settings, const sigset_t& signals) {
   // Malformed messages are reported as typed errors. Without this, protobuf
   // would also write its own lines to the log.
   google::protobuf::SetLogHandler(nullptr);
-  const sigset_t signals = BlockStopSignals();
   gooseberryrock::node::Node node(settings);
   LogEvent(LogLevel::kInfo, "node_started",
            {{"node", settings.node.value},
             {"version", GOOSEBERRYROCK_VERSION},
             {"failure_domain", settings.failure_domain.value}});
-  int signal = 0;
-  sigwait(&signals, &signal);
+  WaitForStopSignal(signals);
   LogEvent(LogLevel::kInfo, "node_draining", {{"node", settings.node.value}});
   node.Drain();
   LogEvent(LogLevel::kInfo, "node_stopped", {{"node", settings.node.value}});
@@ -70,13 +68,14 @@
     std::cout << "settings are valid\n";
     return EXIT_SUCCESS;
   }
+  const sigset_t signals = gooseberryrock::BlockSignals();
   gooseberryrock::telemetry::InitializeLog(
       gooseberryrock::telemetry::ParseLogLevel(report.settings.log_level)
           .value_or(LogLevel::kInfo));
   for (const std::string& warning : report.warnings) {
     LogEvent(LogLevel::kWarning, "settings_warning", {{"message", warning}});
   }
-  return RunNode(report.settings);
+  return RunNode(report.settings, signals);
 }
 
 // Adds a subcommand that runs one role of a deployment whose nodes discover
--- a/apps/node/tier_commands.cc
+++ b/apps/node/tier_commands.cc
@@ -15,6 +15,7 @@
 #include <system_error>
 #include <vector>
 
+#include "block_signals.h"
 #include "gooseberryrock/control/control_node.h"
 #include "gooseberryrock/control/control_settings.h"
 #include "gooseberryrock/control/log_recovery.h"
@@ -55,19 +56,6 @@
   return {address.host, address.port};
 }
 
-// Blocks the handled signals in this thread and in all threads that it starts
-// afterwards, so that only sigtimedwait() receives them.
-sigset_t BlockSignals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  for (int it : {SIGTERM, SIGINT, SIGHUP}) {
-    sigaddset(&signals, it);
-  }
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
-  return signals;
-}
-
 std::filesystem::file_time_type ModificationTime(const std::string& path) {
   std::error_code ec;
   const auto time = std::filesystem::last_write_time(path, ec);
@@ -150,6 +138,8 @@
 }  // namespace
 
 void RunEntryNode(const std::string& settings_path) {
+  const sigset_t signals = BlockSignals();
+  std::signal(SIGPIPE, SIG_IGN);
   const TierSettings settings =
       LoadSettingsAndInitializeLog(settings_path, TierRole::kEntry);
   entry::EntrySettings entry;
@@ -175,12 +165,13 @@
   entry.remembered_server_lifetime = intervals.remembered_server_lifetime;
   entry.peer_heartbeat_interval = intervals.peer_heartbeat_interval;
   entry.peer_heartbeat_timeout = intervals.peer_heartbeat_timeout;
-  const sigset_t signals = BlockSignals();
   entry::EntryNode node(entry, platform::GetEntryCodec());
   ServeUntilStopped(node, signals, settings, settings_path, TierRole::kEntry);
 }
 
 void RunControlNode(const std::string& settings_path) {
+  const sigset_t signals = BlockSignals();
+  std::signal(SIGPIPE, SIG_IGN);
   const TierSettings settings =
       LoadSettingsAndInitializeLog(settings_path, TierRole::kControl);
   control::ControlSettings control;
@@ -202,7 +193,6 @@
   control.peer_heartbeat_interval = intervals.peer_heartbeat_interval;
   control.peer_heartbeat_timeout = intervals.peer_heartbeat_timeout;
   control.drain_time = intervals.control_drain_time;
-  const sigset_t signals = BlockSignals();
   control::ControlNode node(control, platform::GetControlCodec());
   ServeUntilStopped(node, signals, settings, settings_path, TierRole::kControl);
 }
--- a/tests/process/tier_test.cc
+++ b/tests/process/tier_test.cc
@@ -397,6 +397,33 @@
   }
 }
 
+// Guards against a signal that ends a node while it drains, and cuts off the
+// requests in progress: a changed settings file and a repeated stop signal.
+TEST_F(TierTest, SignalsWhileDrainingCutOffNoRequest) {
+  ASSERT_TRUE(cluster_.PutRoutes(5));
+  ASSERT_TRUE(cluster_.WaitForCompleteAnswer(0, seconds(10)));
+  // The request takes the 2 s of its route.
+  cluster_.SetFault(3, TierCluster::ServerFault::kNoResponse);
+  std::optional<transport::Response> reply;
+  std::thread caller(
+      [&] { reply = cluster_.SendRequest(0, "POST", "/one/x", seconds(5)); });
+  std::this_thread::sleep_for(milliseconds(300));
+  cluster_.Entry(0).Signal(SIGTERM);
+  std::this_thread::sleep_for(milliseconds(300));
+  for (int it : {SIGHUP, SIGTERM, SIGINT}) {
+    cluster_.Entry(0).Signal(it);
+    std::this_thread::sleep_for(milliseconds(100));
+  }
+  caller.join();
+  ASSERT_TRUE(reply) << "cut off without an answer";
+  EXPECT_EQ(reply->result(), http::status::gateway_timeout);
+  EXPECT_EQ(cluster_.Entry(0).WaitForExit(seconds(4)), 0);
+
+  cluster_.Control(0).Signal(SIGTERM);
+  cluster_.Control(0).Signal(SIGHUP);
+  EXPECT_EQ(cluster_.Control(0).WaitForExit(seconds(6)), 0);
+}
+
 // Guards against taking requests late in the stop time and cutting them off at
 // its end without an answer: the stop time is 4 s, and a server that does not
 // respond keeps a request for the 2 s of its route.
