platform: refuse lists of routes and services of other types

A config with "routes":null was acknowledged and took all routes away: callers got 404, which they don't retry.

Cause: the JSON library iterates over a null as over an empty list, and over an object as over its values. The reader didn't check the type of routes, services, shard_services and weighted_services.

--- a/tests/platform/control_codec_test.cc
+++ b/tests/platform/control_codec_test.cc
@@ -6,6 +6,8 @@
 #include <string>
 #include <variant>
 
+#include <nlohmann/json.hpp>
+
 #include "gooseberryrock/control/control_codec.h"
 #include "gooseberryrock/platform/control_codec.h"
 #include "gooseberryrock/routes/route_error.h"
@@ -129,6 +131,34 @@
                  replaced(kHeartbeat, ":2,", ":2.0,"))));
 }
 
+// Guards against a configuration whose list of routes, services or shards is
+// null or an object, and which is read as empty or as another list: it would be
+// acknowledged and take all routes away.
+TEST(ControlCodecTest, RejectsListsOfOtherTypes) {
+  const auto with = [](const std::string& key, const std::string& value) {
+    nlohmann::json config = nlohmann::json::parse(kConfig);
+    nlohmann::json& object = key == "shard_services"      ? config["routes"][0]
+                             : key == "weighted_services" ? config["routes"][1]
+                                                          : config;
+    // The values of the object are the elements of the list.
+    nlohmann::json elements = nlohmann::json::object();
+    for (const auto& it : object[key]) {
+      elements[std::to_string(elements.size())] = it;
+    }
+    object[key] = value == "elements" ? elements : nlohmann::json::parse(value);
+    return config.dump();
+  };
+  ASSERT_NO_THROW(GetControlCodec().parse_routes(kConfig));
+  for (const char* key :
+       {"routes", "services", "shard_services", "weighted_services"}) {
+    for (const char* value : {"null", "{}", "7", "\"s\"", "elements"}) {
+      EXPECT_THROW(GetControlCodec().parse_routes(with(key, value)),
+                   routes::RouteError)
+          << key << " " << value;
+    }
+  }
+}
+
 // Guards against an id that is stored and that no other VM accepts: each delta
 // that holds it is refused as a whole.
 TEST(ControlCodecTest, RejectsMalformedIds) {
