entry, control: refuse requests that crash the servers that run them

A request that crashes each server that runs it reached servers again each time that its caller sent it, and took the requests of other callers on these servers with it.

Cause: entry nodes had nothing that recognises such a request. CrashSuspects of the product's own nodes lets a suspect run on one node at a time; entry nodes hear of each other through the control VMs, which takes longer than most callers wait.

Change: claims::CrashHistory records which requests were running on a server when its process ended. Records are merged in any order, bounded, and travel with the polls of entry nodes and the hellos of control VMs. A lost connection counts as a crash only if the server then refuses connections or announces itself as a new process. The processes of the tests no longer inherit listening sockets, which kept the port of a crashed stand-in open.

--- a/apps/ctl/explain_command.cc
+++ b/apps/ctl/explain_command.cc
@@ -58,6 +58,8 @@
      "refused, not run: the servers accept fewer requests per second"},
     {"request_refused", "servers_resting",
      "refused, not run: the servers want no requests for some time"},
+    {"request_refused", "crashes_servers",
+     "refused, not run: servers ended each time that they ran it"},
     {"request_refused", "not_in_time",
      "refused, not run: its time was over before a server was reached"},
     {"request_failed", "timeout",
@@ -80,7 +82,7 @@
     "servers_remembered",  "control_lost",          "control_followed",
     "routes_in_force",     "leadership_changed",    "server_limited",
     "server_limit_lifted", "voters_changed",        "server_leaving",
-    "server_resting",      "server_awake"};
+    "server_resting",      "server_awake",          "server_crashed"};
 
 std::string_view RequestId(const LogLine& line) {
   const std::string_view request = line.Field("request");
--- a/libs/control/src/control_node.cc
+++ b/libs/control/src/control_node.cc
@@ -16,6 +16,7 @@
 #include "control_peers.h"
 #include "gooseberryrock/base/clock.h"
 #include "gooseberryrock/base/hash.h"
+#include "gooseberryrock/claims/shared_crash_history.h"
 #include "gooseberryrock/control/control_client.h"
 #include "gooseberryrock/control/control_codec.h"
 #include "gooseberryrock/control/control_machine.h"
@@ -31,6 +32,7 @@
 #include "gooseberryrock/peer/peer_process.h"
 #include "gooseberryrock/peer/peer_socket.h"
 #include "gooseberryrock/proto/binary_codec.h"
+#include "gooseberryrock/proto/convert_claims.h"
 #include "gooseberryrock/proto/malformed_message_error.h"
 #include "gooseberryrock/storage/file_operations.h"
 #include "gooseberryrock/storage/server_list.h"
@@ -71,6 +73,11 @@
 // Minimum interval between writes of the server list, which only needs to be
 // approximately current.
 constexpr Duration kSaveServersInterval = std::chrono::seconds(1);
+// Crash records are sent to the other control VMs for this long after a change,
+// so that the loss of a few frames does not matter.
+constexpr Duration kCrashNoticeTime = std::chrono::seconds(3);
+// Limits the size of a frame.
+constexpr size_t kMaxCrashNotices = 64;
 constexpr Duration kStopCheck = std::chrono::milliseconds(20);
 
 peer::PeerSocketOptions SocketOptions(const ControlSettings& settings,
@@ -349,6 +356,7 @@
     }
     AddControlVms(others);
     registry.OnSentCount(frame, hello.directory_count());
+    crash_history.MergeNotices(proto::ReadCrashNotices(hello.crashes()), now);
   }
 
   void OnEntryPoll(const peer::PeerFrame& frame, SteadyTime now) {
@@ -362,6 +370,7 @@
     reply.set_current(status.contact_at &&
                       now - *status.contact_at < kContactTime);
     registry.AnswerPoll(poll, reply, now);
+    ExchangeCrashes(poll, reply, now);
     for (const NodeId& it : peers.Vms()) {
       reply.add_control_vms(it.value);
     }
@@ -379,6 +388,23 @@
                   peer::FrameKind::kEntryPollReply, reply.SerializeAsString());
   }
 
+  // Other nodes must know the records before the caller of a request sends it
+  // again, so that new ones are sent on at once.
+  void ExchangeCrashes(const proto::EntryPoll& poll,
+                       proto::EntryPollReply& reply,
+                       SteadyTime now) {
+    if (crash_history.MergeNotices(proto::ReadCrashNotices(poll.crashes()),
+                                   now)) {
+      SendHelloNow();
+    }
+    const bool has_earlier = poll.crashes_incarnation() == incarnation;
+    const auto crashes = crash_history.NoticesSince(
+        has_earlier ? poll.crashes_known() : 0, kMaxCrashNotices, now);
+    proto::AddCrashNotices(crashes.notices, *reply.mutable_crashes());
+    reply.set_crashes_count(crashes.changes);
+    reply.set_crashes_received(poll.crashes_count());
+  }
+
   void AddEntryNodes(const proto::EntryPoll& poll,
                      proto::EntryPollReply& reply) const {
     uint64_t digest = 0;
@@ -442,6 +468,9 @@
     for (const NodeId& it : vms) {
       hello.add_control_vms(it.value);
     }
+    proto::AddCrashNotices(crash_history.RecentNotices(now - kCrashNoticeTime,
+                                                       kMaxCrashNotices, now),
+                           *hello.mutable_crashes());
     for (const NodeId& it : vms) {
       hello.set_directory_count(registry.SentCount(it));
       socket->Send(it, peer::FrameKind::kControlHello,
@@ -493,7 +522,15 @@
   void AnnounceLeaving() {
     {
       std::lock_guard lock(mutex);
-      leaving = hello_now = true;
+      leaving = true;
+    }
+    SendHelloNow();
+  }
+
+  void SendHelloNow() {
+    {
+      std::lock_guard lock(mutex);
+      hello_now = true;
     }
     changed.notify_all();
   }
@@ -531,6 +568,7 @@
   uint64_t counted_malformed = 0;
   transport::IoThread io;
   ControlPeers peers;
+  claims::SharedCrashHistory crash_history;
   std::optional<peer::PeerSocket> socket;
   Registry registry;
   std::optional<ReplicatedLog> log;
--- a/libs/entry/src/connection_pool.cc
+++ b/libs/entry/src/connection_pool.cc
@@ -115,6 +115,14 @@
   Offer(pool, *server, connection);
 }
 
+void ConnectionPool::Probe(relay::ServicePool& pool,
+                           const BackendServerId& server) {
+  relay::PoolServer* found = relay::FindServer(pool, server);
+  if (found != nullptr && ConnectionsOf(*found).opening == 0) {
+    Open(pool, *found);
+  }
+}
+
 void ConnectionPool::Offer(relay::ServicePool& pool,
                            relay::PoolServer& server,
                            const ConnectionPtr& connection) {
--- a/libs/entry/src/connection_pool.h
+++ b/libs/entry/src/connection_pool.h
@@ -71,6 +71,9 @@
                const ConnectionPtr& connection,
                bool reusable);
 
+  // Opens a connection to find out whether the server's process runs.
+  void Probe(relay::ServicePool& pool, const BackendServerId& server);
+
   // Keeps `prewarmed` connections open to a usable server, closes those above
   // its share, and closes all idle connections of an unusable server.
   void Maintain(relay::ServicePool& pool,
--- a/libs/entry/src/control_poller.cc
+++ b/libs/entry/src/control_poller.cc
@@ -12,12 +12,14 @@
 #include <utility>
 
 #include "gooseberryrock/base/clock.h"
+#include "gooseberryrock/claims/shared_crash_history.h"
 #include "gooseberryrock/directory/directory_exchange.h"
 #include "gooseberryrock/entry/known_servers.h"
 #include "gooseberryrock/peer/frame.h"
 #include "gooseberryrock/peer/incarnation.h"
 #include "gooseberryrock/peer/peer_socket.h"
 #include "gooseberryrock/proto/binary_codec.h"
+#include "gooseberryrock/proto/convert_claims.h"
 #include "gooseberryrock/proto/convert_directory.h"
 #include "gooseberryrock/proto/malformed_message_error.h"
 #include "gooseberryrock/routes/compressed_text.h"
@@ -42,6 +44,9 @@
 // that lost its disk or was partitioned may not know all servers yet.
 constexpr size_t kInitialDirectories = 3;
 
+// Limits the size of a poll; the other records follow in the next one.
+constexpr size_t kMaxCrashNotices = 64;
+
 struct ControlVm {
   FailureDomain domain;
   std::optional<SteadyTime> replied_at;
@@ -53,6 +58,12 @@
   // did.
   uint64_t incarnation = 0;
   uint64_t directory_count = 0;
+  // The process that the crash records were exchanged with; 0 if there is none.
+  uint64_t crashes_incarnation = 0;
+  // Change of its crash records up to which this node has them.
+  uint64_t crashes_known = 0;
+  // Change of this node's crash records up to which that process has them.
+  uint64_t crashes_received = 0;
 };
 
 peer::PeerSocketOptions SocketOptions(const EntrySettings& settings) {
@@ -71,9 +82,11 @@
 struct ControlPoller::Impl {
   Impl(const EntrySettings& poller_settings,
        const EntryCodec& poller_codec,
+       claims::SharedCrashHistory& poller_crash_history,
        ControlEvents poller_events)
       : settings(poller_settings),
         codec(poller_codec),
+        crash_history(poller_crash_history),
         events(std::move(poller_events)),
         socket(SocketOptions(settings),
                [this](const peer::PeerFrame& it) { OnFrame(it); }) {
@@ -190,6 +203,12 @@
       poll.set_directory_digest(
           directory::MakeRootDigest(known_servers.directory).root);
     }
+    const auto crashes =
+        crash_history.NoticesSince(vm.crashes_received, kMaxCrashNotices, now);
+    proto::AddCrashNotices(crashes.notices, *poll.mutable_crashes());
+    poll.set_crashes_count(crashes.changes);
+    poll.set_crashes_incarnation(vm.crashes_incarnation);
+    poll.set_crashes_known(vm.crashes_known);
     socket.Send(node, peer::FrameKind::kEntryPoll, poll.SerializeAsString());
   }
 
@@ -254,6 +273,8 @@
     if (reply.has_routes()) {
       OnRoutes(reply.routes());
     }
+    crash_history.MergeNotices(proto::ReadCrashNotices(reply.crashes()),
+                               BootTime());
     std::vector<ServerChange> changes;
     std::optional<ConnectionPlan> plan = PlanOf(reply);
     {
@@ -266,6 +287,12 @@
       vm.domain = {reply.failure_domain()};
       vm.replied_at = BootTime();
       vm.current = reply.current();
+      vm.crashes_known = reply.crashes_count();
+      // A new process has none of the records that its predecessor received.
+      vm.crashes_received = vm.crashes_incarnation == frame.incarnation
+                                ? reply.crashes_received()
+                                : 0;
+      vm.crashes_incarnation = frame.incarnation;
       if (!reply.without_directory()) {
         vm.incarnation = frame.incarnation;
         vm.directory_count = reply.directory_count();
@@ -363,6 +390,7 @@
 
   const EntrySettings settings;
   const EntryCodec& codec;
+  claims::SharedCrashHistory& crash_history;
   const ControlEvents events;
 
   mutable std::mutex mutex;
@@ -388,8 +416,12 @@
 
 ControlPoller::ControlPoller(const EntrySettings& settings,
                              const EntryCodec& codec,
+                             claims::SharedCrashHistory& crash_history,
                              ControlEvents events)
-    : impl_(std::make_unique<Impl>(settings, codec, std::move(events))) {}
+    : impl_(std::make_unique<Impl>(settings,
+                                   codec,
+                                   crash_history,
+                                   std::move(events))) {}
 
 ControlPoller::~ControlPoller() = default;
 
--- a/libs/entry/src/control_poller.h
+++ b/libs/entry/src/control_poller.h
@@ -15,6 +15,10 @@
 #include "gooseberryrock/peer/peer_stats.h"
 #include "gooseberryrock/routes/route_table.h"
 
+namespace gooseberryrock::claims {
+class SharedCrashHistory;
+}  // namespace gooseberryrock::claims
+
 namespace gooseberryrock::entry {
 
 struct ControlEvents {
@@ -35,9 +39,10 @@
 class ControlPoller {
  public:
   // Events are called on threads of the poller. Throws PeerSocketError if the
-  // peer port cannot be used.
+  // peer port cannot be used. Exchanges `crash_history` with the control VMs.
   ControlPoller(const EntrySettings& settings,
                 const EntryCodec& codec,
+                claims::SharedCrashHistory& crash_history,
                 ControlEvents events);
   ControlPoller(const ControlPoller&) = delete;
   ControlPoller& operator=(const ControlPoller&) = delete;
--- a/libs/entry/src/entry_node.cc
+++ b/libs/entry/src/entry_node.cc
@@ -12,6 +12,7 @@
 #include "control_poller.h"
 #include "entry_shard.h"
 #include "gooseberryrock/base/clock.h"
+#include "gooseberryrock/claims/shared_crash_history.h"
 #include "gooseberryrock/entry/entry_codec.h"
 #include "gooseberryrock/entry/entry_settings.h"
 #include "gooseberryrock/monitoring/metrics_server.h"
@@ -81,7 +82,8 @@
           *threads.back(), codec, policy, n,
           GatherOptions{settings.gather_endpoint.port,
                         settings.route_adoption_delay},
-          [this, i](const ServerNotice& it) { PassOn(it, i); }, metrics));
+          [this, i](const ServerNotice& it) { PassOn(it, i); }, crash_history,
+          metrics));
       ConnectionPlan plan;
       plan.place.domain = settings.failure_domain;
       shards.back()->SetConnectionPlan(std::move(plan));
@@ -98,7 +100,7 @@
             shards[thread]->HandleForwarded(std::move(it));
           });
     }
-    control.emplace(settings, codec, Events());
+    control.emplace(settings, codec, crash_history, Events());
     ready_server.emplace(
         std::vector<transport::IoThread*>{all.front()}, settings.ready_endpoint,
         transport::WebLimits(),
@@ -147,6 +149,8 @@
                std::chrono::duration<double>(BootTime() - *status.replied_at)
                    .count());
     }
+    SetGauge(metrics, Gauge::kCrashRecords,
+             static_cast<double>(crash_history.CountRequests()));
     SetGauge(metrics, Gauge::kReady, IsReady() ? 1 : 0);
     IncrementTo(metrics, telemetry::Counter::kBadRequests, counted_malformed,
                 callers->MalformedRequests());
@@ -232,6 +236,7 @@
   peer::PeerStats reported_frames;
   uint64_t counted_malformed = 0;
   std::atomic<bool> draining = false;
+  claims::SharedCrashHistory crash_history;
   std::vector<std::unique_ptr<transport::IoThread>> threads;
   std::vector<std::unique_ptr<EntryShard>> shards;
   std::optional<ControlPoller> control;
--- a/libs/entry/src/entry_shard.cc
+++ b/libs/entry/src/entry_shard.cc
@@ -48,12 +48,14 @@
                        unsigned shards,
                        const GatherOptions& gather,
                        NoticeHandler on_notice,
+                       claims::SharedCrashHistory& crash_history,
                        telemetry::Metrics& metrics)
     : thread_(thread),
       codec_(codec),
       policy_(policy),
       shards_(shards),
       on_notice_(std::move(on_notice)),
+      crash_history_(crash_history),
       metrics_(metrics),
       random_(std::random_device{}()),
       connections_(
@@ -67,6 +69,7 @@
            },
            [this](AttemptKey key) { OnNoConnection(key); },
            [this](relay::ServicePool& pool, const BackendServerId& id) {
+             OnConnectFailed(id, BootTime());
              if (auto* server = relay::FindServer(pool, id)) {
                const SteadyTime now = BootTime();
                relay::RecordResult(server->stats, policy_,
@@ -184,7 +187,14 @@
         {relay::RefusalReason::kNotInTime, Duration::zero()}));
     return;
   }
-  Start(std::move(exchange), std::move(caller), *route);
+  const auto crashes = CheckCrashes(exchange->request(), caller, *route, now);
+  if (crashes.action == claims::CrashAction::kRefuse) {
+    exchange->Respond(codec_.encode_refused(
+        {relay::RefusalReason::kCrashesServers, crashes.retry_after}));
+    return;
+  }
+  Start(std::move(exchange), std::move(caller), *route,
+        crashes.action == claims::CrashAction::kRun ? route->attempts : 1);
 }
 
 relay::ServicePool& EntryShard::PoolOf(const ServiceName& service) {
@@ -215,14 +225,15 @@
 
 void EntryShard::Start(std::shared_ptr<transport::Exchange> exchange,
                        CallerRequest caller,
-                       const routes::Route& route) {
+                       const routes::Route& route,
+                       uint32_t attempts) {
   const SteadyTime received = exchange->received_at();
   ActiveRequest& active =
       AddRequest(std::move(exchange), std::move(caller), table_, route);
   const bool is_gathered =
       std::holds_alternative<routes::ShardedTarget>(route.target);
   if (!is_gathered || !PassOn(active, received)) {
-    Run(active, received, route.attempts);
+    Run(active, received, attempts);
   }
 }
 
--- a/libs/entry/src/entry_shard.h
+++ b/libs/entry/src/entry_shard.h
@@ -19,6 +19,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "connection_pool.h"
+#include "gooseberryrock/claims/crash_history.h"
 #include "gooseberryrock/entry/caller_request.h"
 #include "gooseberryrock/entry/entry_codec.h"
 #include "gooseberryrock/entry/server_change.h"
@@ -30,6 +31,10 @@
 #include "gooseberryrock/transport/http_message.h"
 #include "server_notice.h"
 
+namespace gooseberryrock::claims {
+class SharedCrashHistory;
+}  // namespace gooseberryrock::claims
+
 namespace gooseberryrock::telemetry {
 struct Metrics;
 }  // namespace gooseberryrock::telemetry
@@ -74,6 +79,7 @@
              unsigned shards,
              const GatherOptions& gather,
              NoticeHandler on_notice,
+             claims::SharedCrashHistory& crash_history,
              telemetry::Metrics& metrics);
   EntryShard(const EntryShard&) = delete;
   EntryShard& operator=(const EntryShard&) = delete;
@@ -101,6 +107,19 @@
   struct ActiveRequest;
   // An attempt at a server, including one whose reply is no longer needed.
   struct InFlightAttempt;
+  // A request that was running on a server whose connection was lost.
+  struct LostRun {
+    claims::Fingerprint fingerprint = 0;
+    claims::CrashId crash = 0;
+    std::string request_id;
+  };
+  struct LostRuns {
+    uint64_t incarnation = 0;
+    SteadyTime lost_at;
+    // The server's process runs, or is a new one that has not announced itself.
+    bool has_process = false;
+    std::vector<LostRun> runs;
+  };
   using RequestNumber = uint64_t;
   // A request that waits for the node to learn the routes or servers.
   struct ParkedRequest {
@@ -112,9 +131,11 @@
   relay::RelayContext Context() { return {policy_, random_}; }
   // Starts, parks or refuses the request.
   void Admit(std::shared_ptr<transport::Exchange> exchange);
+  // Sends the request, or each part of it, to at most `attempts` servers.
   void Start(std::shared_ptr<transport::Exchange> exchange,
              CallerRequest caller,
-             const routes::Route& route);
+             const routes::Route& route,
+             uint32_t attempts);
   // Creates the request, without its state.
   ActiveRequest& AddRequest(std::shared_ptr<transport::Exchange> exchange,
                             CallerRequest caller,
@@ -179,6 +200,24 @@
                    SteadyTime now);
   void OnLost(AttemptKey key, relay::AttemptResult result);
   void OnNoConnection(AttemptKey key);
+
+  // Requests that crash servers; see claims/crash_history.h.
+  // Returns how the request may run, and logs a refusal.
+  claims::CrashDecision CheckCrashes(const transport::Request& request,
+                                     const CallerRequest& caller,
+                                     const routes::Route& route,
+                                     SteadyTime now);
+  // The connection of the attempt was lost before its reply. If the server's
+  // process has ended, the request may be the cause.
+  void RecordLostRun(const InFlightAttempt& attempt, SteadyTime now);
+  void OnConnectFailed(const BackendServerId& server, SteadyTime now);
+  void OnServerReplied(const BackendServerId& server);
+  // The process has ended that the lost runs were running on.
+  void ConfirmCrash(const BackendServerId& server, SteadyTime now);
+  // A server answered the request.
+  void RecordAnswer(const ActiveRequest& active, SteadyTime now);
+  // Finds out whether the processes run that the lost runs were running on.
+  void MaintainLostRuns(SteadyTime now);
   void HandleCallerDisconnect(RequestNumber number);
   // Removes the attempt and updates the server's statistics.
   InFlightAttempt RemoveAttempt(AttemptKey key);
@@ -205,6 +244,7 @@
   const relay::RelayPolicy policy_;
   const unsigned shards_;
   const NoticeHandler on_notice_;
+  claims::SharedCrashHistory& crash_history_;
   telemetry::Metrics& metrics_;
 
   std::mutex mutex_;
@@ -238,6 +278,7 @@
   ConnectionPool connections_;
   std::unordered_map<RequestNumber, std::unique_ptr<ActiveRequest>> active_;
   std::unordered_map<AttemptKey, InFlightAttempt> in_flight_;
+  std::map<BackendServerId, LostRuns> lost_runs_;
   // Requests that wait for routes or servers.
   std::vector<ParkedRequest> parked_;
   const SteadyTime started_;
--- a/libs/entry/src/entry_shard_attempts.cc
+++ b/libs/entry/src/entry_shard_attempts.cc
@@ -181,11 +181,14 @@
   if (it == in_flight_.end()) {
     return;
   }
+  InFlightAttempt& in_flight_attempt = it->second;
   if (reply.status != transport::ReplyStatus::kComplete) {
+    if (reply.status == transport::ReplyStatus::kConnectionLost) {
+      RecordLostRun(in_flight_attempt, BootTime());
+    }
     OnLost(key, relay::AttemptResult::kLost);
     return;
   }
-  InFlightAttempt& in_flight_attempt = it->second;
   const std::string answered = codec_.reply_request_id(reply.response);
   if (answered.empty() || answered == in_flight_attempt.request_id) {
     OnMatchingReply(key, std::move(reply));
@@ -216,6 +219,7 @@
     return;
   }
   InFlightAttempt in_flight_attempt = RemoveAttempt(key);
+  OnServerReplied(in_flight_attempt.server);
   if (IsForward(in_flight_attempt)) {
     RecordGatherResult(
         in_flight_attempt.server,
@@ -254,6 +258,11 @@
     return;
   }
   ActiveRequest& active = *it->second;
+  if (!active.state.IsPassedOn() &&
+      (decoded.kind == relay::ReplyKind::kSuccess ||
+       decoded.kind == relay::ReplyKind::kFailure)) {
+    RecordAnswer(active, now);
+  }
   if (active.state.IsPassedOn()) {
     // The reply was decoded as a whole.
   } else if (active.state.IsGathered()) {
@@ -378,6 +387,9 @@
   connections_.Release(*in_flight_attempt.pool, in_flight_attempt.server,
                        in_flight_attempt.connection,
                        /*reusable=*/false);
+  if (lost_runs_.contains(in_flight_attempt.server)) {
+    connections_.Probe(*in_flight_attempt.pool, in_flight_attempt.server);
+  }
   auto it = active_.find(in_flight_attempt.active);
   if (in_flight_attempt.active != 0 && it != active_.end()) {
     ApplyEffects(
--- a/libs/entry/src/entry_shard_gather.cc
+++ b/libs/entry/src/entry_shard_gather.cc
@@ -174,6 +174,13 @@
     exchange->Respond(EncodeGatherRefusal(GatherRefusal::kStopping));
     return;
   }
+  const auto crashes = CheckCrashes(exchange->request(), caller, *route, now);
+  if (crashes.action == claims::CrashAction::kRefuse) {
+    exchange->Respond(EncodeGatherRefusal(GatherRefusal::kFailed));
+    return;
+  }
+  const uint32_t attempts =
+      crashes.action == claims::CrashAction::kRun ? call->attempts : 1;
   std::vector<relay::ServicePool*> pools;
   pools.reserve(call->shards.size());
   for (uint32_t it : call->shards) {
@@ -186,8 +193,8 @@
   ActiveRequest& active = AddRequest(std::move(exchange), std::move(caller),
                                      std::move(table), *route);
   active.for_other_node = true;
-  active.state = relay::MakeGatherForOther(
-      *route, pools, policy_, call->attempts, received, active.caller_deadline);
+  active.state = relay::MakeGatherForOther(*route, pools, policy_, attempts,
+                                           received, active.caller_deadline);
   ApplyEffects(active.number,
                relay::StartRequest(active.state, Context(), BootTime()));
 }
--- a/libs/entry/src/entry_shard_servers.cc
+++ b/libs/entry/src/entry_shard_servers.cc
@@ -53,6 +53,7 @@
       OnLost(key, relay::AttemptResult::kSilent);
     }
   }
+  MaintainLostRuns(now);
   RetryParked();
   for (auto& [service, pool] : pools_) {
     MaintainPool(pool, now);
@@ -144,6 +145,7 @@
          {"incarnation", std::to_string(record.incarnation)}});
   }
   if (restarted) {
+    ConfirmCrash(record.id, BootTime());
     const uint32_t outstanding = server->stats.outstanding;
     const uint32_t overdue = server->stats.overdue;
     server->stats = {};
--- a/libs/entry/src/outcome_log.cc
+++ b/libs/entry/src/outcome_log.cc
@@ -31,6 +31,8 @@
       return "servers_limited";
     case relay::RefusalReason::kServersResting:
       return "servers_resting";
+    case relay::RefusalReason::kCrashesServers:
+      return "crashes_servers";
     case relay::RefusalReason::kNotInTime:
       return "not_in_time";
   }
--- a/libs/proto/include/gooseberryrock/proto/convert_claims.h
+++ b/libs/proto/include/gooseberryrock/proto/convert_claims.h
@@ -3,9 +3,14 @@
 #ifndef GOOSEBERRYROCK_PROTO_CONVERT_CLAIMS_H_
 #define GOOSEBERRYROCK_PROTO_CONVERT_CLAIMS_H_
 
+#include <vector>
+
+#include <google/protobuf/repeated_ptr_field.h>
+
 #include "gooseberryrock/claims/claims.h"
 
 namespace gooseberryrock::claims {
+struct CrashNotice;
 struct CrashSuspicion;
 }  // namespace gooseberryrock::claims
 
@@ -17,6 +22,7 @@
 class OutcomeRequest;
 class RecordReply;
 class ReleaseRequest;
+class RequestCrashes;
 
 ClaimRequest ToMessage(const claims::ClaimEntry& entry);
 OutcomeRequest ToMessage(const claims::OutcomeEntry& entry);
@@ -41,6 +47,16 @@
 // more than kMaxCrashes crashes.
 claims::CrashSuspicion FromMessage(const CrashSuspicion& message);
 
+// Appends the notices to `messages`.
+void AddCrashNotices(
+    const std::vector<claims::CrashNotice>& notices,
+    google::protobuf::RepeatedPtrField<RequestCrashes>& messages);
+
+// Throws MalformedMessageError if there are more than kMaxCrashIds crashes of a
+// kind.
+std::vector<claims::CrashNotice> ReadCrashNotices(
+    const google::protobuf::RepeatedPtrField<RequestCrashes>& messages);
+
 }  // namespace gooseberryrock::proto
 
 #endif  // GOOSEBERRYROCK_PROTO_CONVERT_CLAIMS_H_
--- a/libs/proto/src/convert_claims.cc
+++ b/libs/proto/src/convert_claims.cc
@@ -5,6 +5,7 @@
 #include <array>
 #include <utility>
 
+#include "gooseberryrock/claims/crash_history.h"
 #include "gooseberryrock/claims/crash_suspects.h"
 #include "gooseberryrock/proto/malformed_message_error.h"
 #include "peer.pb.h"
@@ -126,6 +127,40 @@
   return message;
 }
 
+void AddCrashNotices(
+    const std::vector<claims::CrashNotice>& notices,
+    google::protobuf::RepeatedPtrField<RequestCrashes>& messages) {
+  const auto milliseconds = [](Duration duration) {
+    return static_cast<uint32_t>(
+        std::chrono::ceil<std::chrono::milliseconds>(duration).count());
+  };
+  for (const claims::CrashNotice& it : notices) {
+    RequestCrashes& message = *messages.Add();
+    message.set_fingerprint(it.fingerprint);
+    message.mutable_crashes()->Add(it.crashes.begin(), it.crashes.end());
+    message.mutable_cleared()->Add(it.cleared.begin(), it.cleared.end());
+    message.set_age_ms(milliseconds(it.age));
+    message.set_trial_ms(milliseconds(it.trial));
+  }
+}
+
+std::vector<claims::CrashNotice> ReadCrashNotices(
+    const google::protobuf::RepeatedPtrField<RequestCrashes>& messages) {
+  std::vector<claims::CrashNotice> notices;
+  for (const RequestCrashes& it : messages) {
+    if (static_cast<size_t>(it.crashes_size()) > claims::kMaxCrashIds ||
+        static_cast<size_t>(it.cleared_size()) > claims::kMaxCrashIds) {
+      throw MalformedMessageError("a request has too many crashes");
+    }
+    notices.push_back({it.fingerprint(),
+                       {it.crashes().begin(), it.crashes().end()},
+                       {it.cleared().begin(), it.cleared().end()},
+                       std::chrono::milliseconds(it.age_ms()),
+                       std::chrono::milliseconds(it.trial_ms())});
+  }
+  return notices;
+}
+
 claims::ClaimEntry FromMessage(const ClaimRequest& message) {
   return {{message.request_id()},
           message.content_hash(),
--- a/libs/relay/include/gooseberryrock/relay/outcome.h
+++ b/libs/relay/include/gooseberryrock/relay/outcome.h
@@ -38,6 +38,8 @@
   kServersLimited,
   // The servers want no requests for some time.
   kServersResting,
+  // Servers crash when they run the request.
+  kCrashesServers,
   kNotInTime,
 };
 
--- a/tests/process/process.cc
+++ b/tests/process/process.cc
@@ -34,6 +34,8 @@
   if (pid_ == 0) {
     ::dup2(log, STDOUT_FILENO);
     ::dup2(log, STDERR_FILENO);
+    // A listening socket of the test would stay open in the child process.
+    ::syscall(SYS_close_range, STDERR_FILENO + 1, ~0U, 0);
     ::execv(argv[0], argv.data());
     ::_exit(kExecFailedExitCode);
   }
--- a/tests/process/tier_cluster.cc
+++ b/tests/process/tier_cluster.cc
@@ -13,6 +13,7 @@
 #include "gooseberryrock/transport/endpoint.h"
 #include "gooseberryrock/transport/exchange.h"
 #include "gooseberryrock/transport/server_connection.h"
+#include "gooseberryrock/transport/transport_error.h"
 
 namespace gooseberryrock::process_test {
 
@@ -29,6 +30,8 @@
 constexpr uint16_t kCallerPort = 21226;
 constexpr uint16_t kReadyPort = 21227;
 constexpr uint16_t kMetricsPort = 21228;
+// From the crash of a server to its next start.
+constexpr Duration kRestartTime = milliseconds(500);
 constexpr size_t kMaxBodyBytes = size_t{4} << 20U;
 
 std::string ControlHost(size_t i) {
@@ -87,12 +90,7 @@
   std::filesystem::remove_all(folder_);
   std::filesystem::create_directories(folder_);
   for (size_t i = 0; i < kServers; ++i) {
-    servers_.push_back(std::make_unique<transport::WebServer>(
-        std::vector<transport::IoThread*>{&io_},
-        transport::Endpoint{"127.0.0.1", 0}, transport::WebLimits(),
-        [this, i](size_t, const std::shared_ptr<transport::Exchange>& it) {
-          HandleServerRequest(i, it);
-        }));
+    servers_.push_back(MakeServer(i, 0));
   }
   controls_.resize(kControlVms);
   entries_.resize(kEntryNodes);
@@ -111,6 +109,59 @@
   io_.Stop();
 }
 
+std::unique_ptr<transport::WebServer> TierCluster::MakeServer(size_t server,
+                                                              uint16_t port) {
+  return std::make_unique<transport::WebServer>(
+      std::vector<transport::IoThread*>{&io_},
+      transport::Endpoint{"127.0.0.1", port}, transport::WebLimits(),
+      [this, server](size_t, const std::shared_ptr<transport::Exchange>& it) {
+        HandleServerRequest(server, it);
+      });
+}
+
+void TierCluster::CrashOn(const std::string& target) {
+  std::lock_guard lock(mutex_);
+  crash_target_ = target;
+}
+
+std::vector<TierCluster::Crash> TierCluster::Crashes() {
+  std::lock_guard lock(mutex_);
+  return crashes_;
+}
+
+void TierCluster::CrashServer(
+    size_t server,
+    const std::shared_ptr<transport::Exchange>& exchange) {
+  const SteadyTime now = std::chrono::steady_clock::now();
+  crashes_.push_back({exchange->request()["X-Request-Id"].to_string(), now});
+  if (restart_at_.emplace(server, now + kRestartTime).second) {
+    servers_[server]->StopAccepting();
+  }
+  // The connection is closed after the server has stopped listening.
+  io_.Post([exchange] {});
+}
+
+void TierCluster::RestartCrashedServers() {
+  std::lock_guard lock(mutex_);
+  std::erase_if(restart_at_, [this](const auto& it) {
+    const auto& [server, at] = it;
+    if (std::chrono::steady_clock::now() < at) {
+      return false;
+    }
+    std::unique_ptr<transport::WebServer> started;
+    try {
+      started = MakeServer(server, servers_[server]->port());
+    } catch (const transport::TransportError&) {
+      // Another connection has the port as its local one; tried again later.
+      return false;
+    }
+    ended_servers_.push_back(std::move(servers_[server]));
+    servers_[server] = std::move(started);
+    ++restarts_[server];
+    return true;
+  });
+}
+
 void TierCluster::WriteSettings(const std::string& path,
                                 const std::string& name,
                                 const std::string& host,
@@ -178,6 +229,11 @@
   std::optional<ReplyField> field;
   {
     std::lock_guard lock(mutex_);
+    if (!crash_target_.empty() &&
+        exchange->request().target() == crash_target_) {
+      CrashServer(server, exchange);
+      return;
+    }
     if (exchange->request().method() == http::verb::post) {
       ++executions_[id];
     }
@@ -242,8 +298,17 @@
 
 void TierCluster::RunAnnouncer() {
   for (uint64_t sequence = 1; !stopping_; ++sequence) {
+    RestartCrashedServers();
     for (size_t i = 0; i < kServers && !stopping_ && !announcements_paused_;
          ++i) {
+      uint64_t restarts = 0;
+      {
+        std::lock_guard lock(mutex_);
+        if (restart_at_.contains(i)) {
+          continue;
+        }
+        restarts = restarts_[i];
+      }
       const json body = {
           {"service", ServiceName(i)},
           {"address", "127.0.0.1:" + std::to_string(servers_[i]->port())},
@@ -251,7 +316,7 @@
           {"concurrency_limit", 4},
           {"state", "ready"},
           {"sequence", sequence},
-          {"born", 1000}};
+          {"born", 1000 + restarts}};
       const std::string path =
           "/v1/instances/server-" + std::to_string(i) + "/heartbeat";
       for (size_t n = 0; n < kControlVms; ++n) {
--- a/tests/process/tier_cluster.h
+++ b/tests/process/tier_cluster.h
@@ -89,6 +89,16 @@
   // requests.
   enum class ServerFault { kNone, kNoResponse, kCloseConnection };
   void SetFault(size_t service, ServerFault fault);
+  // A request that crashed a server.
+  struct Crash {
+    std::string request_id;
+    SteadyTime at;
+  };
+  // From now on a server that gets a request for `target` crashes: it closes
+  // its connections and refuses new ones until it starts again, half a second
+  // later.
+  void CrashOn(const std::string& target);
+  std::vector<Crash> Crashes();
   // From now on server `i` of the service adds the field to its replies, which
   // have `status`, and the times of its requests are recorded.
   void SetReplyField(size_t service,
@@ -120,6 +130,11 @@
   void HandleServerRequest(
       size_t server,
       const std::shared_ptr<transport::Exchange>& exchange);
+  std::unique_ptr<transport::WebServer> MakeServer(size_t server,
+                                                   uint16_t port);
+  void CrashServer(size_t server,
+                   const std::shared_ptr<transport::Exchange>& exchange);
+  void RestartCrashedServers();
   void RunAnnouncer();
 
   const std::string folder_;
@@ -133,7 +148,14 @@
   std::map<size_t, ReplyField> reply_fields_;
   std::map<size_t, std::vector<SteadyTime>> arrivals_;
   std::vector<std::shared_ptr<transport::Exchange>> unanswered_;
+  std::string crash_target_;
+  std::vector<Crash> crashes_;
+  // When crashed servers start again.
+  std::map<size_t, SteadyTime> restart_at_;
+  std::map<size_t, uint64_t> restarts_;
   std::vector<std::unique_ptr<transport::WebServer>> servers_;
+  // Ended servers; they can be destroyed only after the I/O thread.
+  std::vector<std::unique_ptr<transport::WebServer>> ended_servers_;
   std::vector<std::unique_ptr<Process>> controls_;
   std::vector<std::unique_ptr<Process>> entries_;
   std::atomic<uint64_t> next_request_ = 1;
