transport, entry: limit the memory of all replies together

Servers that send bodies without end, or stop just below the limit of one reply, filled the memory of the entry node that called them; the requests of all other callers of the node ended with it.

Cause: each reply was limited to 8 MB, but nothing limited what all of them hold while they are read, while a gathered request waits for its other parts, and while a slow caller reads the response.

Change: ReplyMemory limits them for each I/O thread, to a quarter of memory_mb. A body takes memory as its bytes arrive, large parts of a gathered request are cut to the records that can be in the answer, and idle connections free what they held.

--- a/apps/ctl/explain_command.cc
+++ b/apps/ctl/explain_command.cc
@@ -68,6 +68,8 @@
      "failed, may have run: the connection to the server was lost"},
     {"request_failed", "too_few_shards",
      "failed: too few shards answered for the least coverage"},
+    {"request_failed", "replies_too_large",
+     "failed, may have run: the replies took too much memory"},
     {"request_without_route", "",
      "refused: no route leads to its host and path"},
     {"answer_partial", "", "answered in part: shards are missing"},
--- a/apps/node/tier_commands.cc
+++ b/apps/node/tier_commands.cc
@@ -44,6 +44,11 @@
 // find changes that come without SIGHUP.
 constexpr std::chrono::seconds kSettingsCheckInterval{2};
 
+// Share of the memory of a VM that replies may take. While one is copied to a
+// larger block, it takes three times its size; requests, routes and connections
+// need memory as well.
+constexpr size_t kReplyMemoryDivisor = 4;
+
 std::vector<NodeId> ControlVmIds(const TierSettings& settings) {
   std::vector<NodeId> nodes;
   for (const settings::Address& it : settings.control_vms) {
@@ -154,6 +159,8 @@
   entry.ready_endpoint = ToEndpoint(settings.ready_address);
   entry.metrics_endpoint = ToEndpoint(settings.metrics_address);
   entry.io_shards = settings.cores;
+  entry.reply_memory_bytes =
+      (size_t{settings.memory_mb} << 20U) / kReplyMemoryDivisor;
   entry.extra_attempts = {settings.extra_attempt_share, settings.extra_attempts,
                           settings.extra_attempt_window};
   entry.stop_time = settings.stop_time;
--- a/libs/entry/include/gooseberryrock/entry/entry_settings.h
+++ b/libs/entry/include/gooseberryrock/entry/entry_settings.h
@@ -3,6 +3,7 @@
 #ifndef GOOSEBERRYROCK_ENTRY_ENTRY_SETTINGS_H_
 #define GOOSEBERRYROCK_ENTRY_ENTRY_SETTINGS_H_
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,8 @@
   transport::Endpoint metrics_endpoint;
   // Number of I/O shards, each with its own thread; usually one per core.
   unsigned io_shards = 1;
+  // Memory that replies may take, from the servers to the callers.
+  size_t reply_memory_bytes = size_t{40} << 20U;
   relay::ExtraAttemptLimit extra_attempts;
   // Polling of control VMs; one that has not replied for the timeout is not
   // relied on.
--- a/libs/entry/src/connection_pool.cc
+++ b/libs/entry/src/connection_pool.cc
@@ -28,8 +28,9 @@
 };
 
 ConnectionPool::ConnectionPool(boost::asio::io_context& context,
+                               transport::ReplyMemory& memory,
                                ConnectionPoolEvents events)
-    : context_(context), events_(std::move(events)) {}
+    : context_(context), memory_(memory), events_(std::move(events)) {}
 
 ConnectionPool::~ConnectionPool() = default;
 
@@ -86,7 +87,8 @@
   ServerConnections& server_connections = ConnectionsOf(server);
   ++server_connections.opening;
   ++server.connections;
-  auto connection = std::make_shared<transport::ServerConnection>(context_);
+  auto connection = std::make_shared<transport::ServerConnection>(
+      context_, memory_, server.id.value);
   connection->Connect(
       server_connections.endpoint, kConnectTimeout,
       [this, &pool, id = server.id, connection](bool connected) {
--- a/libs/entry/src/connection_pool.h
+++ b/libs/entry/src/connection_pool.h
@@ -24,6 +24,7 @@
 }  // namespace boost::asio
 
 namespace gooseberryrock::transport {
+class ReplyMemory;
 class ServerConnection;
 }  // namespace gooseberryrock::transport
 
@@ -47,7 +48,9 @@
 
 class ConnectionPool {
  public:
-  ConnectionPool(boost::asio::io_context& context, ConnectionPoolEvents events);
+  ConnectionPool(boost::asio::io_context& context,
+                 transport::ReplyMemory& memory,
+                 ConnectionPoolEvents events);
   ~ConnectionPool();
 
   // Returns a connection for the attempt, or null if the attempt has to wait
@@ -99,6 +102,7 @@
                    relay::PoolServer* server);
 
   boost::asio::io_context& context_;
+  transport::ReplyMemory& memory_;
   const ConnectionPoolEvents events_;
   std::map<BackendServerId, std::unique_ptr<ServerConnections>> connections_;
 };
--- a/libs/entry/src/entry_node.cc
+++ b/libs/entry/src/entry_node.cc
@@ -22,6 +22,7 @@
 #include "gooseberryrock/telemetry/metrics.h"
 #include "gooseberryrock/transport/exchange.h"
 #include "gooseberryrock/transport/io_thread.h"
+#include "gooseberryrock/transport/reply_memory.h"
 #include "gooseberryrock/transport/web_server.h"
 
 namespace gooseberryrock::entry {
@@ -75,15 +76,20 @@
     relay::RelayPolicy policy;
     policy.extra_attempts = settings.extra_attempts;
     std::vector<transport::IoThread*> all;
+    std::vector<transport::ReplyMemory*> memory;
     for (unsigned i = 0; i < n; ++i) {
+      reply_memory.push_back(std::make_unique<transport::ReplyMemory>(
+          settings.reply_memory_bytes / n));
+      memory.push_back(reply_memory.back().get());
       threads.push_back(std::make_unique<transport::IoThread>());
       all.push_back(threads.back().get());
       shards.push_back(std::make_unique<EntryShard>(
           *threads.back(), codec, policy, n,
           GatherOptions{settings.gather_endpoint.port,
                         settings.route_adoption_delay},
-          [this, i](const ServerNotice& it) { PassOn(it, i); }, crash_history,
-          metrics));
+          EntryShardDependencies{
+              [this, i](const ServerNotice& it) { PassOn(it, i); },
+              crash_history, *reply_memory.back(), metrics}));
       ConnectionPlan plan;
       plan.place.domain = settings.failure_domain;
       shards.back()->SetConnectionPlan(std::move(plan));
@@ -92,13 +98,15 @@
         all, settings.caller_endpoint, transport::WebLimits(),
         [this](size_t thread, std::shared_ptr<transport::Exchange> it) {
           shards[thread]->Handle(std::move(it));
-        });
+        },
+        memory);
     if (settings.gather_endpoint.port != 0) {
       gather_server.emplace(
           all, settings.gather_endpoint, transport::WebLimits(),
           [this](size_t thread, std::shared_ptr<transport::Exchange> it) {
             shards[thread]->HandleForwarded(std::move(it));
-          });
+          },
+          memory);
     }
     control.emplace(settings, codec, crash_history, Events());
     ready_server.emplace(
@@ -149,6 +157,16 @@
                std::chrono::duration<double>(BootTime() - *status.replied_at)
                    .count());
     }
+    size_t memory_used = 0;
+    uint64_t given_up = 0;
+    for (const auto& it : reply_memory) {
+      memory_used += it->used();
+      given_up += it->given_up();
+    }
+    SetGauge(metrics, Gauge::kReplyMemoryBytes,
+             static_cast<double>(memory_used));
+    IncrementTo(metrics, telemetry::Counter::kRepliesGivenUp, counted_given_up,
+                given_up);
     SetGauge(metrics, Gauge::kCrashRecords,
              static_cast<double>(crash_history.CountRequests()));
     SetGauge(metrics, Gauge::kReady, IsReady() ? 1 : 0);
@@ -235,8 +253,11 @@
   // Used on the first I/O thread only.
   peer::PeerStats reported_frames;
   uint64_t counted_malformed = 0;
+  uint64_t counted_given_up = 0;
   std::atomic<bool> draining = false;
   claims::SharedCrashHistory crash_history;
+  // One for each thread, whose connections use it until they are destroyed.
+  std::vector<std::unique_ptr<transport::ReplyMemory>> reply_memory;
   std::vector<std::unique_ptr<transport::IoThread>> threads;
   std::vector<std::unique_ptr<EntryShard>> shards;
   std::optional<ControlPoller> control;
--- a/libs/entry/src/entry_shard.cc
+++ b/libs/entry/src/entry_shard.cc
@@ -47,19 +47,19 @@
                        const relay::RelayPolicy& policy,
                        unsigned shards,
                        const GatherOptions& gather,
-                       NoticeHandler on_notice,
-                       claims::SharedCrashHistory& crash_history,
-                       telemetry::Metrics& metrics)
+                       EntryShardDependencies deps)
     : thread_(thread),
       codec_(codec),
       policy_(policy),
       shards_(shards),
-      on_notice_(std::move(on_notice)),
-      crash_history_(crash_history),
-      metrics_(metrics),
+      on_notice_(std::move(deps.on_notice)),
+      crash_history_(deps.crash_history),
+      reply_memory_(deps.reply_memory),
+      metrics_(deps.metrics),
       random_(std::random_device{}()),
       connections_(
           thread.context(),
+          reply_memory_,
           {[this](const std::function<void()>& it) {
              std::lock_guard lock(mutex_);
              it();
--- a/libs/entry/src/entry_shard.h
+++ b/libs/entry/src/entry_shard.h
@@ -42,6 +42,7 @@
 namespace gooseberryrock::transport {
 class Exchange;
 class IoThread;
+class ReplyMemory;
 struct Reply;
 }  // namespace gooseberryrock::transport
 
@@ -67,20 +68,25 @@
   Duration route_adoption_delay = Duration::zero();
 };
 
-class EntryShard {
- public:
+// What a shard uses of its node.
+struct EntryShardDependencies {
   // Passes a notice on to the other I/O shards.
-  using NoticeHandler = std::function<void(const ServerNotice&)>;
+  std::function<void(const ServerNotice&)> on_notice;
+  claims::SharedCrashHistory& crash_history;
+  // Of the shard's thread.
+  transport::ReplyMemory& reply_memory;
+  telemetry::Metrics& metrics;
+};
 
+class EntryShard {
+ public:
   // `shards` is the number of I/O shards that divide the limits of the node.
   EntryShard(transport::IoThread& thread,
              const EntryCodec& codec,
              const relay::RelayPolicy& policy,
              unsigned shards,
              const GatherOptions& gather,
-             NoticeHandler on_notice,
-             claims::SharedCrashHistory& crash_history,
-             telemetry::Metrics& metrics);
+             EntryShardDependencies deps);
   EntryShard(const EntryShard&) = delete;
   EntryShard& operator=(const EntryShard&) = delete;
   ~EntryShard();
@@ -198,7 +204,14 @@
                    relay::PoolServer& server,
                    const ServerNotice& notice,
                    SteadyTime now);
-  void OnLost(AttemptKey key, relay::AttemptResult result);
+  // `cause` is for the log.
+  void OnLost(AttemptKey key,
+              relay::AttemptResult result,
+              const std::string& cause);
+  // Accounts for a reply that the request keeps until it ends.
+  void HoldReply(ActiveRequest& active, size_t bytes);
+  // Ends a request whose replies take too much memory.
+  void GiveUpReplies(RequestNumber number);
   void OnNoConnection(AttemptKey key);
 
   // Requests that crash servers; see claims/crash_history.h.
@@ -243,8 +256,9 @@
   const EntryCodec& codec_;
   const relay::RelayPolicy policy_;
   const unsigned shards_;
-  const NoticeHandler on_notice_;
+  const std::function<void(const ServerNotice&)> on_notice_;
   claims::SharedCrashHistory& crash_history_;
+  transport::ReplyMemory& reply_memory_;
   telemetry::Metrics& metrics_;
 
   std::mutex mutex_;
--- a/libs/entry/src/entry_shard_attempts.cc
+++ b/libs/entry/src/entry_shard_attempts.cc
@@ -186,7 +186,9 @@
     if (reply.status == transport::ReplyStatus::kConnectionLost) {
       RecordLostRun(in_flight_attempt, BootTime());
     }
-    OnLost(key, relay::AttemptResult::kLost);
+    OnLost(key, relay::AttemptResult::kLost,
+           reply.status == transport::ReplyStatus::kGivenUp ? "memory"
+                                                            : "connection");
     return;
   }
   const std::string answered = codec_.reply_request_id(reply.response);
@@ -200,7 +202,7 @@
                        {"reply_to", answered},
                        {"server", in_flight_attempt.server.value}});
   if (++in_flight_attempt.mismatched_replies > kMaxMismatchedReplies) {
-    OnLost(key, relay::AttemptResult::kLost);
+    OnLost(key, relay::AttemptResult::kLost, "reply");
     return;
   }
   in_flight_attempt.connection->ReadNextReply(
@@ -215,7 +217,7 @@
                                    ? ReadGatherReply(reply.response)
                                    : codec_.parse_reply(reply.response);
   if (decoded.kind == relay::ReplyKind::kUnusable) {
-    OnLost(key, relay::AttemptResult::kLost);
+    OnLost(key, relay::AttemptResult::kLost, "reply");
     return;
   }
   InFlightAttempt in_flight_attempt = RemoveAttempt(key);
@@ -258,6 +260,8 @@
     return;
   }
   ActiveRequest& active = *it->second;
+  const size_t held_bytes =
+      reply.response.body().capacity() + decoded.body.capacity();
   if (!active.state.IsPassedOn() &&
       (decoded.kind == relay::ReplyKind::kSuccess ||
        decoded.kind == relay::ReplyKind::kFailure)) {
@@ -274,6 +278,31 @@
   ApplyEffects(in_flight_attempt.active,
                relay::OnAttemptReply(active.state, in_flight_attempt.attempt,
                                      std::move(decoded), Context(), now));
+  it = active_.find(in_flight_attempt.active);
+  if (it != active_.end()) {
+    HoldReply(*it->second, held_bytes);
+  }
+}
+
+void EntryShard::HoldReply(ActiveRequest& active, size_t bytes) {
+  if (active.held_replies.size() == 0) {
+    active.held_replies.Start(&reply_memory_, "route " + active.route->name,
+                              [this, number = active.number] {
+                                thread_.Post([this, number] {
+                                  std::lock_guard lock(mutex_);
+                                  GiveUpReplies(number);
+                                });
+                              });
+  }
+  active.held_replies.Resize(active.held_replies.size() + bytes);
+}
+
+void EntryShard::GiveUpReplies(RequestNumber number) {
+  auto it = active_.find(number);
+  if (it != active_.end()) {
+    ApplyEffects(number,
+                 relay::OnRepliesGivenUp(it->second->state, BootTime()));
+  }
 }
 
 void EntryShard::RecordStatements(relay::ServicePool& pool,
@@ -363,7 +392,9 @@
   });
 }
 
-void EntryShard::OnLost(AttemptKey key, relay::AttemptResult result) {
+void EntryShard::OnLost(AttemptKey key,
+                        relay::AttemptResult result,
+                        const std::string& cause) {
   const InFlightAttempt in_flight_attempt = RemoveAttempt(key);
   const SteadyTime now = BootTime();
   if (auto* server = relay::FindServer(*in_flight_attempt.pool,
@@ -381,8 +412,7 @@
       {{"request", in_flight_attempt.request_id},
        {"server", in_flight_attempt.server.value},
        {"service", in_flight_attempt.pool->service.value},
-       {"cause",
-        result == relay::AttemptResult::kSilent ? "silent" : "connection"},
+       {"cause", cause},
        {"elapsed_ms", Milliseconds(now - in_flight_attempt.sent_at)}});
   connections_.Release(*in_flight_attempt.pool, in_flight_attempt.server,
                        in_flight_attempt.connection,
--- a/libs/entry/src/entry_shard_servers.cc
+++ b/libs/entry/src/entry_shard_servers.cc
@@ -50,7 +50,7 @@
   }
   for (AttemptKey key : expired) {
     if (in_flight_.contains(key)) {
-      OnLost(key, relay::AttemptResult::kSilent);
+      OnLost(key, relay::AttemptResult::kSilent, "silent");
     }
   }
   MaintainLostRuns(now);
--- a/libs/entry/src/entry_shard_state.h
+++ b/libs/entry/src/entry_shard_state.h
@@ -11,6 +11,7 @@
 #include "entry_shard.h"
 #include "gooseberryrock/relay/request_state.h"
 #include "gooseberryrock/routes/route.h"
+#include "gooseberryrock/transport/memory_reservation.h"
 
 namespace gooseberryrock::entry {
 
@@ -37,6 +38,8 @@
   // The last reply to a relayed request, and the attempt that it belongs to.
   relay::AttemptNumber replied_attempt = 0;
   transport::Response reply;
+  // The memory of `reply` and of the replies in `state`.
+  transport::MemoryReservation held_replies;
   std::optional<std::multimap<SteadyTime, RequestNumber>::iterator> timer;
 };
 
--- a/libs/entry/src/outcome_log.cc
+++ b/libs/entry/src/outcome_log.cc
@@ -47,6 +47,8 @@
       return "connection_lost";
     case relay::FailureReason::kTooFewShards:
       return "too_few_shards";
+    case relay::FailureReason::kRepliesTooLarge:
+      return "replies_too_large";
   }
   return "unknown";
 }
--- a/libs/relay/include/gooseberryrock/relay/outcome.h
+++ b/libs/relay/include/gooseberryrock/relay/outcome.h
@@ -56,6 +56,8 @@
   kConnectionLost,
   // Fewer shards replied than the route requires.
   kTooFewShards,
+  // The replies took too much memory.
+  kRepliesTooLarge,
 };
 
 struct FailedOutcome {
--- a/libs/relay/include/gooseberryrock/relay/request_machine.h
+++ b/libs/relay/include/gooseberryrock/relay/request_machine.h
@@ -78,6 +78,10 @@
                               RelayContext context,
                               SteadyTime now);
 
+// The replies that have arrived were given up because they take too much
+// memory.
+RequestEffects OnRepliesGivenUp(RequestState& state, SteadyTime now);
+
 // The caller closed its connection. Idempotent requests are cancelled; others
 // run to completion, because stopping one halfway could leave it partially
 // applied.
--- a/libs/relay/src/request_machine.cc
+++ b/libs/relay/src/request_machine.cc
@@ -8,6 +8,7 @@
 
 #include "gathered_parts.h"
 #include "gooseberryrock/relay/choose_server.h"
+#include "gooseberryrock/relay/gather.h"
 #include "gooseberryrock/relay/relay_policy.h"
 #include "gooseberryrock/relay/server_reply.h"
 #include "refusal.h"
@@ -106,6 +107,15 @@
   return true;
 }
 
+// Frees the records of a large reply that cannot be in the answer.
+void KeepGreatestRecords(const RequestState& state, RequestPart& part) {
+  constexpr size_t kLargeReply = size_t{64} << 10U;
+  if (state.IsGathered() && part.body.size() > kLargeReply) {
+    const std::string_view body = part.body;
+    part.body = TopRecords({&body, 1}, state.top_records);
+  }
+}
+
 // The server of an attempt that was sent did not run it.
 void CountRefusal(RequestPart& part) {
   --part.sends;
@@ -390,6 +400,7 @@
       part.digests.push_back(std::move(reply.digest));
     }
     part.body = std::move(reply.body);
+    KeepGreatestRecords(state, part);
     if (!state.IsGathered()) {
       Finish(state, RelayedOutcome{number}, now, effects);
       return effects;
@@ -468,6 +479,14 @@
   return effects;
 }
 
+RequestEffects OnRepliesGivenUp(RequestState& state, SteadyTime now) {
+  RequestEffects effects;
+  if (!state.finished) {
+    Finish(state, FailedOutcome{FailureReason::kRepliesTooLarge}, now, effects);
+  }
+  return effects;
+}
+
 RequestEffects OnCallerDisconnected(RequestState& state, SteadyTime now) {
   RequestEffects effects;
   if (state.finished) {
--- a/libs/settings/include/gooseberryrock/settings/tier_settings.h
+++ b/libs/settings/include/gooseberryrock/settings/tier_settings.h
@@ -41,6 +41,8 @@
   // Address of the metrics endpoint. Disabled when the host is empty.
   Address metrics_address;
   unsigned cores = 1;
+  // Memory of the VM for this process. The default suits the smallest VM.
+  unsigned memory_mb = 160;
   // Budget for retries and hedges (attempts beyond the first of a request) that
   // all entry nodes together may send to a service in each window: this share
   // of its requests plus a fixed number. The defaults suit the smallest
--- a/libs/settings/src/tier_settings.cc
+++ b/libs/settings/src/tier_settings.cc
@@ -22,6 +22,7 @@
 constexpr Range kOptionalPort = {0, 65535};
 constexpr Range kStringLength = {0, 4096};
 constexpr Range kCores = {1, 256};
+constexpr Range kMemoryMb = {16, 1048576};
 constexpr Range kToleratedLosses = {0, 5};
 constexpr double kMinSeconds = 1;
 constexpr double kMaxSeconds = 600;
@@ -160,6 +161,8 @@
       ReadAddressString(root, "metrics_address", Presence::kOptional);
   settings.cores = static_cast<unsigned>(
       ReadInteger(root, "cores", Presence::kOptional, kCores, settings.cores));
+  settings.memory_mb = static_cast<unsigned>(ReadInteger(
+      root, "memory_mb", Presence::kOptional, kMemoryMb, settings.memory_mb));
   settings.tolerated_losses = static_cast<uint32_t>(
       ReadInteger(root, "tolerated_losses", Presence::kOptional,
                   kToleratedLosses, settings.tolerated_losses));
--- a/libs/transport/include/gooseberryrock/transport/server_connection.h
+++ b/libs/transport/include/gooseberryrock/transport/server_connection.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 
 #include "gooseberryrock/base/time.h"
 #include "gooseberryrock/transport/http_message.h"
@@ -19,6 +20,7 @@
 
 namespace gooseberryrock::transport {
 
+class ReplyMemory;
 struct Endpoint;
 
 enum class ReplyStatus {
@@ -30,6 +32,9 @@
   // The peer did not send a valid HTTP reply; the request may have been
   // executed.
   kMalformed,
+  // The reply was given up because replies took too much memory; the request
+  // may have been executed.
+  kGivenUp,
 };
 
 struct Reply {
@@ -46,6 +51,11 @@
   using InterimHandler = std::function<void(const Response& header)>;
 
   explicit ServerConnection(boost::asio::io_context& context);
+  // Replies take memory of `memory`, which must outlive the connection, as one
+  // of the replies of `holder`.
+  ServerConnection(boost::asio::io_context& context,
+                   ReplyMemory& memory,
+                   std::string holder);
   ServerConnection(const ServerConnection&) = delete;
   ServerConnection& operator=(const ServerConnection&) = delete;
   ~ServerConnection();
@@ -77,6 +87,10 @@
   struct Impl;
   void ReadHeader();
   void OnHeader();
+  void ReadBody();
+  // `readable`: the connection may have more of the reply.
+  void OnBody(bool readable, ReplyStatus status);
+  void GiveUp();
   void Finish(ReplyStatus status);
 
   std::unique_ptr<Impl> impl_;
--- a/libs/transport/include/gooseberryrock/transport/web_server.h
+++ b/libs/transport/include/gooseberryrock/transport/web_server.h
@@ -15,6 +15,7 @@
 
 class Exchange;
 class IoThread;
+class ReplyMemory;
 struct Endpoint;
 
 struct WebLimits {
@@ -36,11 +37,14 @@
 
   // Throws TransportError if the address cannot be used. Connections are
   // assigned to the threads in turn. The threads must outlive the server and be
-  // stopped before it is destroyed.
+  // stopped before it is destroyed. `memory` limits the responses of each
+  // thread; it is empty or has an element for each thread, which must outlive
+  // the thread.
   WebServer(const std::vector<IoThread*>& threads,
             const Endpoint& endpoint,
             const WebLimits& limits,
-            Handler handler);
+            Handler handler,
+            const std::vector<ReplyMemory*>& memory = {});
   WebServer(const WebServer&) = delete;
   WebServer& operator=(const WebServer&) = delete;
   ~WebServer();
--- a/libs/transport/src/message_framing.cc
+++ b/libs/transport/src/message_framing.cc
@@ -1,4 +1,5 @@
-// Checks that the end of a message is certain (RFC 9112, sections 6.1 and 6.3).
+// Limits on messages, and checks that the end of one is certain (RFC 9112,
+// sections 6.1 and 6.3).
 
 #include "message_framing.h"
 
@@ -12,6 +13,8 @@
 
 namespace http = boost::beast::http;
 
+constexpr size_t kMaxIdleBufferBytes = size_t{4} << 10U;
+
 std::string_view Trim(std::string_view text) {
   constexpr std::string_view kSpace = " \t";
   const size_t first = text.find_first_not_of(kSpace);
@@ -84,10 +87,16 @@
   return CheckLength(request);
 }
 
-FramingProblem CheckFraming(const Response& response) {
+FramingProblem CheckFraming(const http::response_header<>& response) {
   return CheckLength(response);
 }
 
+void FreeLargeBuffer(boost::beast::flat_buffer& buffer) {
+  if (buffer.size() == 0 && buffer.capacity() > kMaxIdleBufferBytes) {
+    buffer.shrink_to_fit();
+  }
+}
+
 std::string_view FramingProblemName(FramingProblem problem) {
   switch (problem) {
     case FramingProblem::kNone:
--- a/libs/transport/src/message_framing.h
+++ b/libs/transport/src/message_framing.h
@@ -8,6 +8,8 @@
 #include <cstddef>
 #include <string_view>
 
+#include <boost/beast/core/flat_buffer.hpp>
+
 #include "gooseberryrock/transport/http_message.h"
 
 namespace gooseberryrock::transport {
@@ -33,7 +35,12 @@
 };
 
 FramingProblem CheckFraming(const Request& request);
-FramingProblem CheckFraming(const Response& response);
+FramingProblem CheckFraming(
+    const boost::beast::http::response_header<>& response);
+
+// Frees the memory of an empty buffer that has grown beyond the size of a usual
+// message; there is one for each open connection.
+void FreeLargeBuffer(boost::beast::flat_buffer& buffer);
 
 // A word for log lines.
 std::string_view FramingProblemName(FramingProblem problem);
--- a/libs/transport/src/server_connection.cc
+++ b/libs/transport/src/server_connection.cc
@@ -8,10 +8,13 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/buffer_traits.hpp>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
 #include "gooseberryrock/transport/endpoint.h"
+#include "gooseberryrock/transport/memory_reservation.h"
 #include "message_framing.h"
 #include "socket_options.h"
 
@@ -23,11 +26,39 @@
 
 namespace {
 
+// A body that takes memory for the bytes that have arrived. The string body of
+// Beast reserves the whole Content-Length at the start.
+struct ReplyBody : http::string_body {
+  class reader {
+   public:
+    template <bool kIsRequest, class Fields>
+    reader(http::header<kIsRequest, Fields>& /*header*/, value_type& body)
+        : body_(body) {}
+
+    void init(const boost::optional<uint64_t>& /*length*/, ErrorCode& ec) {
+      ec = {};
+    }
+    template <class Buffers>
+    size_t put(const Buffers& buffers, ErrorCode& ec) {
+      ec = {};
+      for (const asio::const_buffer it :
+           boost::beast::buffers_range_ref(buffers)) {
+        body_.append(static_cast<const char*>(it.data()), it.size());
+      }
+      return boost::beast::buffer_bytes(buffers);
+    }
+    void finish(ErrorCode& ec) { ec = {}; }
+
+   private:
+    value_type& body_;
+  };
+};
+
 // Interim replies that are skipped before the final one.
 constexpr int kMaxInterimReplies = 8;
 
-bool IsInterim(const Response& response) {
-  return http::to_status_class(response.result_int()) ==
+bool IsInterim(const http::response_header<>& header) {
+  return http::to_status_class(header.result_int()) ==
          http::status_class::informational;
 }
 
@@ -44,16 +75,26 @@
 }  // namespace
 
 struct ServerConnection::Impl {
-  explicit Impl(asio::io_context& context)
-      : socket(context), connect_timer(context), buffer(kMaxBufferedBytes) {}
+  Impl(asio::io_context& context, ReplyMemory* reply_memory, std::string name)
+      : socket(context),
+        connect_timer(context),
+        buffer(kMaxBufferedBytes),
+        memory(reply_memory),
+        holder(std::move(name)) {}
 
   asio::ip::tcp::socket socket;
   asio::steady_timer connect_timer;
   boost::beast::flat_buffer buffer;
   Request request;
   bool writing = false;
-  std::optional<http::response_parser<http::string_body>> parser;
+  std::optional<http::response_parser<ReplyBody>> parser;
   size_t max_body = 0;
+  // Null if the memory for replies is not limited.
+  ReplyMemory* const memory;
+  const std::string holder;
+  // The memory of the body that is being read.
+  MemoryReservation reservation;
+  bool given_up = false;
   // Interim replies before the current one.
   int interim_replies = 0;
   ReplyHandler on_reply;
@@ -64,7 +105,12 @@
 };
 
 ServerConnection::ServerConnection(asio::io_context& context)
-    : impl_(std::make_unique<Impl>(context)) {}
+    : impl_(std::make_unique<Impl>(context, nullptr, std::string())) {}
+
+ServerConnection::ServerConnection(asio::io_context& context,
+                                   ReplyMemory& memory,
+                                   std::string holder)
+    : impl_(std::make_unique<Impl>(context, &memory, std::move(holder))) {}
 
 ServerConnection::~ServerConnection() = default;
 
@@ -127,8 +173,7 @@
 }
 
 // The header is read by itself: when header and body arrive together,
-// Beast 1.74 reserves memory for any Content-Length and reads the whole body,
-// whatever the limit.
+// Beast 1.74 reads the whole body, whatever the limit.
 void ServerConnection::ReadHeader() {
   Impl& impl = *impl_;
   impl.parser.emplace();
@@ -152,14 +197,14 @@
 
 void ServerConnection::OnHeader() {
   Impl& impl = *impl_;
-  const Response& header = impl.parser->get();
+  const http::response_header<>& header = impl.parser->get();
   if (IsInterim(header)) {
     // No request asks for another protocol.
     if (header.result() != http::status::switching_protocols &&
         ++impl.interim_replies <= kMaxInterimReplies) {
       // A copy, because the handler may close the connection.
       if (const InterimHandler on_interim = impl.on_interim) {
-        on_interim(header);
+        on_interim(Response(header));
       }
       if (!impl.closed) {
         ReadHeader();
@@ -177,16 +222,48 @@
     Finish(ReplyStatus::kComplete);
     return;
   }
-  http::async_read(impl.socket, impl.buffer, *impl.parser,
-                   [self = shared_from_this()](const ErrorCode& ec, size_t) {
-                     if (!self->impl_->closed) {
-                       self->Finish(StatusOf(ec));
-                     }
-                   });
+  impl.parser->eager(true);
+  impl.reservation.Start(impl.memory, impl.holder, [this] { GiveUp(); });
+  ReadBody();
+}
+
+void ServerConnection::ReadBody() {
+  http::async_read_some(
+      impl_->socket, impl_->buffer, *impl_->parser,
+      [self = shared_from_this()](const ErrorCode& ec, size_t) {
+        self->OnBody(!ec, StatusOf(ec));
+      });
+}
+
+void ServerConnection::OnBody(bool readable, ReplyStatus status) {
+  Impl& impl = *impl_;
+  if (impl.closed) {
+    return;
+  }
+  if (!impl.given_up) {
+    impl.reservation.Resize(impl.parser->get().body().capacity());
+  }
+  if (impl.given_up) {
+    Finish(ReplyStatus::kGivenUp);
+  } else if (!readable || impl.parser->is_done()) {
+    Finish(status);
+  } else {
+    ReadBody();
+  }
+}
+
+// Frees the memory at once; the read that is in progress ends and reports it.
+void ServerConnection::GiveUp() {
+  Impl& impl = *impl_;
+  impl.given_up = true;
+  std::string().swap(impl.parser->get().body());
+  ErrorCode ignored;
+  impl.socket.close(ignored);
 }
 
 void ServerConnection::Finish(ReplyStatus status) {
   Impl& impl = *impl_;
+  impl.reservation.End();
   // The fields of a trailer are among those of the header now.
   if (status == ReplyStatus::kComplete &&
       CheckFraming(impl.parser->get()) != FramingProblem::kNone) {
@@ -199,8 +276,12 @@
     // completely, would be mistaken for part of the next exchange.
     reply.reusable =
         impl.parser->keep_alive() && !impl.writing && impl.buffer.size() == 0;
-    reply.response = impl.parser->release();
+    auto message = impl.parser->release();
+    reply.response =
+        Response(std::move(message.base()), std::move(message.body()));
   }
+  impl.parser.reset();
+  FreeLargeBuffer(impl.buffer);
   std::exchange(impl.on_reply, nullptr)(std::move(reply));
 }
 
@@ -225,6 +306,7 @@
   impl_->on_reply = nullptr;
   impl_->on_interim = nullptr;
   impl_->connect_timer.cancel();
+  impl_->reservation.End();
   ErrorCode ignored;
   impl_->socket.close(ignored);
 }
--- a/libs/transport/src/web_server.cc
+++ b/libs/transport/src/web_server.cc
@@ -34,6 +34,8 @@
 struct ThreadState {
   IoThread* thread = nullptr;
   size_t index = 0;
+  // Null if the memory for responses is not limited.
+  ReplyMemory* memory = nullptr;
   // Used on the thread only.
   WebSessionList sessions;
 
@@ -56,7 +58,8 @@
   Impl(const std::vector<IoThread*>& threads,
        const Endpoint& endpoint,
        const WebLimits& limits,
-       Handler handler)
+       Handler handler,
+       const std::vector<ReplyMemory*>& memory)
       : shared(std::make_shared<WebServerShared>()),
         acceptor(threads.front()->context()),
         accept_retry_timer(threads.front()->context()) {
@@ -66,6 +69,8 @@
       states.push_back(std::make_shared<ThreadState>());
       states.back()->thread = it;
       states.back()->index = states.size() - 1;
+      states.back()->memory =
+          memory.empty() ? nullptr : memory[states.size() - 1];
     }
     Listen(endpoint);
     for (const auto& state : states) {
@@ -123,8 +128,8 @@
   void AddSession(const std::shared_ptr<ThreadState>& state,
                   asio::ip::tcp::socket socket) {
     SetSocketOptions(socket);
-    auto session =
-        std::make_shared<WebSession>(std::move(socket), state->index, shared);
+    auto session = std::make_shared<WebSession>(std::move(socket), state->index,
+                                                state->memory, shared);
     auto start = [state, session] {
       state->sessions.push_back(session);
       session->Start();
@@ -148,11 +153,13 @@
 WebServer::WebServer(const std::vector<IoThread*>& threads,
                      const Endpoint& endpoint,
                      const WebLimits& limits,
-                     Handler handler)
+                     Handler handler,
+                     const std::vector<ReplyMemory*>& memory)
     : impl_(std::make_unique<Impl>(threads,
                                    endpoint,
                                    limits,
-                                   std::move(handler))) {}
+                                   std::move(handler),
+                                   memory)) {}
 
 WebServer::~WebServer() = default;
 
--- a/libs/transport/src/web_session.cc
+++ b/libs/transport/src/web_session.cc
@@ -91,11 +91,13 @@
 
 WebSession::WebSession(asio::ip::tcp::socket socket,
                        size_t thread,
+                       ReplyMemory* memory,
                        std::shared_ptr<WebServerShared> shared)
     : socket_(std::move(socket)),
       thread_(thread),
       shared_(std::move(shared)),
-      buffer_(kMaxBufferedBytes) {
+      buffer_(kMaxBufferedBytes),
+      memory_(memory) {
   ++shared_->open_connections;
 }
 
@@ -267,6 +269,10 @@
   response_ = std::move(response);
   response_.keep_alive(keep_alive);
   response_.prepare_payload();
+  reservation_.Start(memory_, "callers", [this] { GiveUpResponse(); });
+  if (!reservation_.Resize(response_.body().capacity())) {
+    return;
+  }
   http::async_write(
       socket_, response_,
       [self = shared_from_this(), keep_alive](const ErrorCode& ec, size_t) {
@@ -275,6 +281,8 @@
 }
 
 void WebSession::OnWritten(bool failed, bool keep_alive) {
+  reservation_.End();
+  response_ = Response();
   if (state_ == State::kClosed) {
     return;
   }
@@ -282,6 +290,7 @@
     Close();
     return;
   }
+  FreeLargeBuffer(buffer_);
   if (!keep_alive) {
     Linger();
     return;
@@ -295,6 +304,12 @@
   }
 }
 
+void WebSession::GiveUpResponse() {
+  telemetry::LogEvent(telemetry::LogLevel::kWarning, "response_given_up",
+                      {{"reason", "memory"}});
+  Close();
+}
+
 void WebSession::Linger() {
   state_ = State::kLingering;
   max_discarded_ = std::max(max_discarded_, kMaxDiscardedBytes);
--- a/libs/transport/src/web_session.h
+++ b/libs/transport/src/web_session.h
@@ -19,6 +19,7 @@
 #include "gooseberryrock/base/time.h"
 #include "gooseberryrock/transport/exchange.h"
 #include "gooseberryrock/transport/http_message.h"
+#include "gooseberryrock/transport/memory_reservation.h"
 #include "gooseberryrock/transport/web_server.h"
 
 namespace gooseberryrock::transport {
@@ -47,9 +48,11 @@
 
 class WebSession : public std::enable_shared_from_this<WebSession> {
  public:
-  // `thread` is the index of the session's thread.
+  // `thread` is the index of the session's thread. Responses take memory of
+  // `memory`, which may be null.
   WebSession(boost::asio::ip::tcp::socket socket,
              size_t thread,
+             ReplyMemory* memory,
              std::shared_ptr<WebServerShared> shared);
   WebSession(const WebSession&) = delete;
   WebSession& operator=(const WebSession&) = delete;
@@ -81,6 +84,7 @@
   void OnWritten(bool failed, bool keep_alive);
   void Linger();
   void DiscardInput();
+  void GiveUpResponse();
 
   boost::asio::ip::tcp::socket socket_;
   const size_t thread_;
@@ -98,6 +102,9 @@
   // The request in progress.
   std::weak_ptr<Exchange> exchange_;
   Response response_;
+  ReplyMemory* const memory_;
+  // The memory of `response_`.
+  MemoryReservation reservation_;
   // Number of bytes read and discarded after the last response.
   size_t discarded_bytes_ = 0;
   // The connection is closed when `discarded_bytes_` exceeds this.
--- a/tests/process/process.cc
+++ b/tests/process/process.cc
@@ -11,6 +11,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <fstream>
 
 namespace gooseberryrock::process_test {
 
@@ -57,6 +58,17 @@
   }
 }
 
+size_t Process::PeakMemory() const {
+  std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+  size_t kilobytes = 0;
+  for (std::string word; status >> word;) {
+    if (word == "VmHWM:") {
+      status >> kilobytes;
+    }
+  }
+  return kilobytes << 10U;
+}
+
 std::optional<int> Process::WaitForExit(Duration timeout) {
   if (status_) {
     return status_;
--- a/tests/process/process.h
+++ b/tests/process/process.h
@@ -5,6 +5,7 @@
 
 #include <sys/types.h>
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <vector>
@@ -29,6 +30,9 @@
   // Returns the wait status of the process; nullopt when it is still running
   // after `timeout`.
   std::optional<int> WaitForExit(Duration timeout);
+  // The greatest resident memory that the process has had, in bytes; 0 if it
+  // has exited.
+  size_t PeakMemory() const;
   bool running() { return !WaitForExit(Duration::zero()).has_value(); }
 
  private:
--- a/tests/process/tier_cluster.cc
+++ b/tests/process/tier_cluster.cc
@@ -129,6 +129,15 @@
   return crashes_;
 }
 
+void TierCluster::AnnounceAt(size_t service, size_t i, uint16_t port) {
+  std::lock_guard lock(mutex_);
+  const size_t server = service * kServersPerService + i;
+  announced_ports_[server] = port;
+  // Ends the process that the new one replaces.
+  servers_[server]->StopAccepting();
+  ++restarts_[server];
+}
+
 void TierCluster::CrashServer(
     size_t server,
     const std::shared_ptr<transport::Exchange>& exchange) {
@@ -302,16 +311,20 @@
     for (size_t i = 0; i < kServers && !stopping_ && !announcements_paused_;
          ++i) {
       uint64_t restarts = 0;
+      uint16_t port = servers_[i]->port();
       {
         std::lock_guard lock(mutex_);
         if (restart_at_.contains(i)) {
           continue;
         }
         restarts = restarts_[i];
+        if (announced_ports_.contains(i)) {
+          port = announced_ports_.at(i);
+        }
       }
       const json body = {
           {"service", ServiceName(i)},
-          {"address", "127.0.0.1:" + std::to_string(servers_[i]->port())},
+          {"address", "127.0.0.1:" + std::to_string(port)},
           {"zone", FailureDomainName(options_.servers_in_first_domain ? 0 : i)},
           {"concurrency_limit", 4},
           {"state", "ready"},
--- a/tests/process/tier_cluster.h
+++ b/tests/process/tier_cluster.h
@@ -99,6 +99,9 @@
   // later.
   void CrashOn(const std::string& target);
   std::vector<Crash> Crashes();
+  // From now on server `i` of the service is announced as a process on another
+  // port of 127.0.0.1.
+  void AnnounceAt(size_t service, size_t i, uint16_t port);
   // From now on server `i` of the service adds the field to its replies, which
   // have `status`, and the times of its requests are recorded.
   void SetReplyField(size_t service,
@@ -153,6 +156,7 @@
   // When crashed servers start again.
   std::map<size_t, SteadyTime> restart_at_;
   std::map<size_t, uint64_t> restarts_;
+  std::map<size_t, uint16_t> announced_ports_;
   std::vector<std::unique_ptr<transport::WebServer>> servers_;
   // Ended servers; they can be destroyed only after the I/O thread.
   std::vector<std::unique_ptr<transport::WebServer>> ended_servers_;
