control: move calls to a new leader as soon as it is elected

A read of the routes at a control VM was answered with 503 when its leader had just failed, although the others had elected a new one within the second that operators wait.

Cause: an attempt waits for its leader for 500 ms, also after another VM leads.

Change: an attempt ends when this VM knows that another one leads. Calls may be repeated, since the state machine recognises them by their ids.

--- a/libs/control/include/gooseberryrock/control/control_client.h
+++ b/libs/control/include/gooseberryrock/control/control_client.h
@@ -82,6 +82,8 @@
 
   void OnReply(const proto::ForwardReply& reply);
   NodeId NextTarget(size_t attempt) const;
+  // Whether this control VM knows that another VM leads.
+  bool IsReplaced(const NodeId& leader) const;
   // Executes the call on this control VM and passes the reply to `done`.
   void ExecuteLocally(const proto::ForwardRequest& request,
                       std::function<void(proto::ForwardReply)> done);
--- a/libs/control/src/control_client.cc
+++ b/libs/control/src/control_client.cc
@@ -17,6 +17,9 @@
 
 // Timeout of one attempt. The leader may have failed, so the next VM is tried.
 constexpr Duration kAttemptTimeout = std::chrono::milliseconds(500);
+// Interval of checks whether another VM leads by now. An attempt at a leader
+// that failed ends as soon as the others have elected a new one.
+constexpr Duration kLeaderCheckInterval = std::chrono::milliseconds(25);
 // Delay before the next attempt after a VM replied that it is not the leader.
 constexpr Duration kRetryPause = std::chrono::milliseconds(30);
 
@@ -162,6 +165,14 @@
   return result;
 }
 
+bool ControlClient::IsReplaced(const NodeId& leader) const {
+  if (log_ == nullptr) {
+    return false;
+  }
+  const NodeId now_leads = log_->Status().leader;
+  return !now_leads.empty() && now_leads != leader;
+}
+
 NodeId ControlClient::NextTarget(size_t attempt) const {
   if (log_ != nullptr) {
     NodeId leader = log_->Status().leader;
@@ -194,9 +205,15 @@
   } else {
     send_request_(target, call);
   }
+  bool replied = false;
+  while (!replied && Now() < until && !IsReplaced(target)) {
+    lock.lock();
+    replied =
+        replied_.wait_for(lock, std::min(until - Now(), kLeaderCheckInterval),
+                          [&] { return pending_calls_[id].reply.has_value(); });
+    lock.unlock();
+  }
   lock.lock();
-  replied_.wait_for(lock, until - Now(),
-                    [&] { return pending_calls_[id].reply.has_value(); });
   auto reply = std::move(pending_calls_[id].reply);
   pending_calls_.erase(id);
   return reply;
--- a/tests/control/replicated_log_test.cc
+++ b/tests/control/replicated_log_test.cc
@@ -1,9 +1,11 @@
-// Runs the replicated log with its threads over disks that are full for a time.
+// Runs the replicated log with its threads over disks that are full for a time,
+// and calls to it while its leader fails.
 
 #include "gooseberryrock/control/replicated_log.h"
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
@@ -13,12 +15,17 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "gooseberryrock/control/control_client.h"
 #include "gooseberryrock/control/log_status.h"
+#include "gooseberryrock/peer/peer_process.h"
 #include "gooseberryrock/storage/file_operations.h"
 #include "gooseberryrock/storage/storage_error.h"
+#include "peer.pb.h"
 
 namespace gooseberryrock::control {
 namespace {
@@ -94,10 +101,12 @@
       machine.reset = [] {};
       machine.restore = [](std::string_view /*data*/) {};
       auto log = std::make_unique<ReplicatedLog>(
-          options, machine, [this](const NodeId& to, std::string body) {
+          options, machine,
+          [this, from = id](const NodeId& to, std::string body) {
             std::lock_guard lock(mutex);
             auto it = vms.find(to);
-            if (it != vms.end() && it->second.log) {
+            if (it != vms.end() && !cut_off.contains(from) &&
+                !cut_off.contains(to) && it->second.log) {
               it->second.log->OnMessage(std::move(body));
             }
           });
@@ -128,6 +137,8 @@
   // Guards `log` of the VMs while they start and stop.
   std::mutex mutex;
   std::map<NodeId, LogVm> vms;
+  // VMs whose messages are lost; guarded by `mutex`.
+  std::set<NodeId> cut_off;
 };
 
 bool WaitFor(const std::function<bool()>& condition, Clock::duration time) {
@@ -274,5 +285,77 @@
   }
 }
 
+// Clients of the VMs of a cluster, which pass calls to each other directly.
+struct LogClients {
+  explicit LogClients(LogCluster& log_cluster) : cluster(log_cluster) {
+    for (auto& [id, vm] : cluster.vms) {
+      clients[id] = std::make_unique<ControlClient>(
+          ControlClientOptions{id, {id}}, vm.log.get(),
+          [this, self = id](const NodeId& to, const proto::ForwardRequest& it) {
+            if (IsConnected(self, to)) {
+              clients.at(to)->OnRequestFrame({self, 1}, it.SerializeAsString());
+            }
+          },
+          [this, self = id](const peer::PeerProcess& to,
+                            const proto::ForwardReply& it) {
+            if (IsConnected(self, to.node)) {
+              clients.at(to.node)->OnReplyFrame(it.SerializeAsString());
+            }
+          },
+          [](const proto::ForwardRequest& /*call*/) {
+            proto::ForwardReply reply;
+            reply.mutable_routes()->set_version(1);
+            return reply.SerializeAsString();
+          });
+    }
+  }
+
+  bool IsConnected(const NodeId& a, const NodeId& b) {
+    std::lock_guard lock(cluster.mutex);
+    return !cluster.cut_off.contains(a) && !cluster.cut_off.contains(b);
+  }
+
+  LogCluster& cluster;
+  std::map<NodeId, std::unique_ptr<ControlClient>> clients;
+};
+
+// Guards against a call that goes on waiting for a leader that failed after the
+// others have elected a new one: operators wait for a second.
+TEST(ReplicatedLogTest, CallMovesToNewLeader) {
+  constexpr milliseconds kMaxDelay{300};
+  LogCluster cluster(3);
+  LogClients clients(cluster);
+  for (int round = 0; round < 5; ++round) {
+    ASSERT_TRUE(IsAcknowledged(cluster, seconds(10)));
+    const NodeId failed = cluster.Leader()->Status().leader;
+    const auto follower =
+        std::find_if(cluster.vms.begin(), cluster.vms.end(),
+                     [&](const auto& it) { return it.first != failed; });
+    ReplicatedLog& log = *follower->second.log;
+    ASSERT_TRUE(
+        WaitFor([&] { return log.Status().leader == failed; }, seconds(5)));
+    {
+      std::lock_guard lock(cluster.mutex);
+      cluster.cut_off = {failed};
+    }
+    auto call = std::async(std::launch::async, [&] {
+      proto::ForwardRequest request;
+      request.mutable_read_routes();
+      return clients.clients.at(follower->first)
+          ->Call(std::move(request), seconds(5));
+    });
+    EXPECT_TRUE(WaitFor(
+        [&] {
+          const NodeId leader = log.Status().leader;
+          return !leader.empty() && leader != failed;
+        },
+        seconds(5)));
+    EXPECT_EQ(call.wait_for(kMaxDelay), std::future_status::ready);
+    EXPECT_EQ(call.get().status, CallStatus::kDone);
+    std::lock_guard lock(cluster.mutex);
+    cluster.cut_off.clear();
+  }
+}
+
 }  // namespace
 }  // namespace gooseberryrock::control
