entry: let a waiting attempt be cancelled while others fail

An entry node ended by SIGSEGV when two gathering nodes were stopped in turn; requests of its callers that servers were running were cut.

Cause: FailWaiting() took all waiting attempts out of the pool before it reported the first one. If that ended a request, the cancellation of the request's other attempt found nothing, and the attempt, which no longer existed, was reported as well.

Change: attempts stay in the pool until each is reported.

--- a/libs/entry/src/connection_pool.cc
+++ b/libs/entry/src/connection_pool.cc
@@ -24,6 +24,9 @@
   std::vector<ConnectionPtr> idle;
   // Waiting attempts, most urgent first.
   std::multimap<Rank, AttemptKey> waiting;
+  // Attempts that FailWaiting() has taken out of `waiting` and not reported
+  // yet. They can still be cancelled.
+  std::multimap<Rank, AttemptKey> failing;
   uint32_t opening = 0;
 };
 
@@ -71,16 +74,15 @@
   if (server_connections == connections_.end()) {
     return;
   }
-  auto& waiting = server_connections->second->waiting;
-  auto it = std::find_if(waiting.begin(), waiting.end(),
-                         [key](const auto& n) { return n.second == key; });
-  if (it == waiting.end()) {
-    return;
-  }
-  waiting.erase(it);
-  if (relay::PoolServer* found = relay::FindServer(pool, server)) {
+  const auto erase_from = [key](std::multimap<Rank, AttemptKey>& attempts) {
+    return std::erase_if(attempts,
+                         [key](const auto& n) { return n.second == key; }) > 0;
+  };
+  relay::PoolServer* found = relay::FindServer(pool, server);
+  if (erase_from(server_connections->second->waiting) && found != nullptr) {
     --found->queued;
   }
+  erase_from(server_connections->second->failing);
 }
 
 void ConnectionPool::Open(relay::ServicePool& pool, relay::PoolServer& server) {
@@ -167,12 +169,16 @@
 
 void ConnectionPool::FailWaiting(ServerConnections& server_connections,
                                  relay::PoolServer* server) {
-  std::multimap<Rank, AttemptKey> waiting;
-  waiting.swap(server_connections.waiting);
+  auto& failing = server_connections.failing;
+  failing.merge(server_connections.waiting);
   if (server != nullptr) {
     server->queued = 0;
   }
-  for (const auto& [rank, key] : waiting) {
+  // The failure of one attempt may end its request, which cancels others, or
+  // let new ones wait.
+  while (!failing.empty()) {
+    const AttemptKey key = failing.begin()->second;
+    failing.erase(failing.begin());
     events_.on_no_connection(key);
   }
 }
