http: connect to backend servers through transport

A backend server whose reply header never ends filled the memory of a node of the product's own interface until the call timed out (64 MB in 2 s).

Cause: the client of cxxtools keeps a header of any length.

Change: BackendConnection uses transport::ServerConnection, which limits the header, each body, and with ReplyMemory all bodies of a channel. The channel runs an I/O context in place of a selector. A call that may be repeated is sent again once, on a new connection, when a used one is lost, as cxxtools did by itself; the result still counts both.

--- a/libs/http/include/gooseberryrock/http/backend_call.h
+++ b/libs/http/include/gooseberryrock/http/backend_call.h
@@ -19,9 +19,8 @@
   std::string body;
   // The connection is closed if there is no reply by this time.
   SteadyTime deadline;
-  // Send on a new connection that is not reused. On a reused connection the
-  // HTTP client resends a request by itself when the server closes the
-  // connection.
+  // Send on a new connection that is not reused. On a reused connection a
+  // request is sent again when the server closes the connection.
   bool at_most_once = false;
   // Returned with the result.
   ServiceName service = {};
--- a/libs/http/include/gooseberryrock/http/backend_channel.h
+++ b/libs/http/include/gooseberryrock/http/backend_channel.h
@@ -1,5 +1,5 @@
-// The connections of one I/O shard to its backend servers, with one selector,
-// one thread and one lock.
+// The connections of one I/O shard to its backend servers, with one thread and
+// one lock.
 
 #ifndef GOOSEBERRYROCK_HTTP_BACKEND_CHANNEL_H_
 #define GOOSEBERRYROCK_HTTP_BACKEND_CHANNEL_H_
--- a/libs/http/include/gooseberryrock/http/backend_connection.h
+++ b/libs/http/include/gooseberryrock/http/backend_connection.h
@@ -1,12 +1,9 @@
-// One HTTP connection to a backend server. Used only on the thread of its
-// selector.
+// One HTTP connection to a backend server. Used only on the thread of its I/O
+// context.
 
 #ifndef GOOSEBERRYROCK_HTTP_BACKEND_CONNECTION_H_
 #define GOOSEBERRYROCK_HTTP_BACKEND_CONNECTION_H_
 
-#include <cxxtools/connectable.h>
-#include <cxxtools/http/client.h>
-
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -16,21 +13,29 @@
 #include "gooseberryrock/http/backend_call.h"
 #include "gooseberryrock/http/backend_result.h"
 
-namespace cxxtools {
-class Selector;
-namespace http {
-class Request;
-}  // namespace http
-}  // namespace cxxtools
+namespace boost::asio {
+class io_context;
+}  // namespace boost::asio
+
+namespace gooseberryrock::transport {
+class ReplyMemory;
+class ServerConnection;
+struct Reply;
+}  // namespace gooseberryrock::transport
 
 namespace gooseberryrock::http {
 
-class BackendConnection : public cxxtools::Connectable {
+class BackendConnection {
  public:
-  BackendConnection(cxxtools::Selector& selector,
-                    const std::string& host,
+  // `host` is a numeric address or a name. Replies take memory of `memory`,
+  // which must outlive the connection.
+  BackendConnection(boost::asio::io_context& context,
+                    transport::ReplyMemory& memory,
+                    std::string host,
                     uint16_t port);
-  ~BackendConnection() override;
+  BackendConnection(const BackendConnection&) = delete;
+  BackendConnection& operator=(const BackendConnection&) = delete;
+  ~BackendConnection();
 
   // Sends `call`. The connection must be idle.
   void Begin(BackendCall call, SteadyTime now);
@@ -61,14 +66,20 @@
   bool reusable() const { return reusable_; }
 
  private:
-  void OnRequestSent(cxxtools::http::Client& client);
-  std::size_t OnBodyAvailable(cxxtools::http::Client& client);
-  void OnReplyFinished(cxxtools::http::Client& client);
-  void Fail(const std::exception& error);
-
-  // The client holds a pointer to the request until the reply has ended.
-  std::unique_ptr<cxxtools::http::Request> request_;
-  cxxtools::http::Client client_;
+  void Open();
+  void Connect(const std::string& address);
+  void Send();
+  void OnReply(transport::Reply reply);
+  void Finish(BackendResultKind kind);
+
+  boost::asio::io_context& context_;
+  transport::ReplyMemory& memory_;
+  const std::string host_;
+  const uint16_t port_;
+  // Null before the first call.
+  std::shared_ptr<transport::ServerConnection> connection_;
+  // Handlers that may run after the destruction hold a weak reference to it.
+  std::shared_ptr<BackendConnection*> self_;
   std::optional<BackendCall> call_;
   BackendResult result_;
   SteadyTime started_at_;
@@ -76,6 +87,8 @@
   bool finished_ = false;
   bool reusable_ = true;
   bool answered_before_ = false;
+  // The call in progress was sent on a connection that had carried others.
+  bool on_used_connection_ = false;
   std::optional<SteadyTime> silent_at_;
 };
 
--- a/libs/http/include/gooseberryrock/http/backend_result.h
+++ b/libs/http/include/gooseberryrock/http/backend_result.h
@@ -32,8 +32,8 @@
   std::string body;
   // Time from passing the request to the connection until its end.
   Duration elapsed = Duration::zero();
-  // Number of times the HTTP client sent the request; more than one means that
-  // it resent the request by itself.
+  // Number of times the request was sent; two means that it was sent again on a
+  // new connection.
   uint32_t times_sent = 0;
   // Copied from the call.
   ServiceName service;
--- a/libs/http/src/backend_channel.cc
+++ b/libs/http/src/backend_channel.cc
@@ -2,8 +2,6 @@
 
 #include "gooseberryrock/http/backend_channel.h"
 
-#include <cxxtools/selector.h>
-
 #include <algorithm>
 #include <deque>
 #include <map>
@@ -14,19 +12,28 @@
 #include <variant>
 #include <vector>
 
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
 #include "gooseberryrock/base/time.h"
 #include "gooseberryrock/http/backend_connection.h"
 #include "gooseberryrock/query/connection_health.h"
+#include "gooseberryrock/transport/reply_memory.h"
 
 namespace gooseberryrock::http {
 
+namespace asio = boost::asio;
+
 namespace {
 
 // Time to wait for the reply to an abandoned call before the connection is
 // closed.
 constexpr Duration kAbandonedReplyTimeout = std::chrono::seconds(1);
-// Maximum wait of the selector when no call has an earlier deadline.
-constexpr Duration kMaxSelectorWait = std::chrono::milliseconds(500);
+// Maximum wait for events when no call has an earlier deadline.
+constexpr Duration kMaxWait = std::chrono::milliseconds(500);
+// Memory that all replies that are being read may take.
+constexpr size_t kReplyMemoryBytes = size_t{32} << 20U;
 
 struct SetEndpointEvent {
   BackendServerId server;
@@ -57,8 +64,8 @@
 // otherwise a server that closes every connection would receive a continuous
 // series of them.
 constexpr Duration kPreconnectBackoff = std::chrono::seconds(1);
-// Body of the request that preconnects: cxxtools opens a connection without
-// blocking only together with a request. No attempt has the id 0.
+// Body of the request that preconnects, which also shows that the server
+// replies. No attempt has the id 0.
 constexpr const char* kPreconnectBody = R"({"attemptId":"0"})";
 
 struct Server {
@@ -79,7 +86,8 @@
 }  // namespace
 
 struct BackendChannel::Impl {
-  explicit Impl(ResultHandler handler) : on_result(std::move(handler)) {
+  explicit Impl(ResultHandler handler)
+      : on_result(std::move(handler)), work(asio::make_work_guard(context)) {
     thread = std::thread([this] { Run(); });
   }
 
@@ -88,16 +96,21 @@
       std::lock_guard lock(mutex);
       stopping = true;
     }
-    selector.wake();
+    Wake();
     thread.join();
   }
 
+  // Ends the wait of the channel thread. Thread-safe.
+  void Wake() {
+    asio::post(context, [] {});
+  }
+
   void Post(Event event) {
     {
       std::lock_guard lock(mutex);
       events.push_back(std::move(event));
     }
-    selector.wake();
+    Wake();
   }
 
   void Run() {
@@ -114,8 +127,9 @@
         std::visit([this](auto& it) { Handle(std::move(it)); }, event);
       }
       const Duration wait = ProcessServers(Now());
-      selector.wait(cxxtools::Milliseconds(
-          std::chrono::duration<double, std::milli>(wait).count()));
+      if (context.run_one_for(wait) > 0) {
+        context.poll();
+      }
     }
     servers.clear();
   }
@@ -216,9 +230,9 @@
   }
 
   // Collects finished calls, closes connections whose call has expired and
-  // sends queued calls. Returns the maximum wait of the selector.
+  // sends queued calls. Returns the maximum wait for events.
   Duration ProcessServers(SteadyTime now) {
-    SteadyTime next = now + kMaxSelectorWait;
+    SteadyTime next = now + kMaxWait;
     for (auto& [id, server] : servers) {
       CollectFinished(server, now);
       AbortExpired(server, now);
@@ -314,7 +328,7 @@
         busy, all - busy, server.endpoint.max_connections);
     for (uint32_t i = 0; i < n && server.queued.empty(); ++i) {
       server.connections.push_back(std::make_unique<BackendConnection>(
-          selector, server.endpoint.host, server.endpoint.port));
+          context, memory, server.endpoint.host, server.endpoint.port));
       server.connections.back()->Begin(
           {kNoAttempt, id, "/v1/cancel", kPreconnectBody, now + kCancelTimeout},
           now);
@@ -369,7 +383,7 @@
       server.connections.erase(idle);
     }
     server.connections.push_back(std::make_unique<BackendConnection>(
-        selector, server.endpoint.host, server.endpoint.port));
+        context, memory, server.endpoint.host, server.endpoint.port));
     return server.connections.back().get();
   }
 
@@ -391,9 +405,11 @@
   }
 
   const ResultHandler on_result;
-  // Accessed only on the channel thread, except for wake().
-  cxxtools::Selector selector;
-  // Accessed only on the channel thread.
+  // Accessed only on the channel thread, like `servers`.
+  transport::ReplyMemory memory{kReplyMemoryBytes};
+  // Run by the channel thread.
+  asio::io_context context{1};
+  asio::executor_work_guard<asio::io_context::executor_type> work;
   std::map<BackendServerId, Server> servers;
   std::mutex mutex;
   // Guarded by `mutex`.
--- a/libs/http/src/backend_connection.cc
+++ b/libs/http/src/backend_connection.cc
@@ -2,43 +2,58 @@
 
 #include "gooseberryrock/http/backend_connection.h"
 
-#include <cxxtools/http/request.h>
-#include <cxxtools/selector.h>
-
-#include <string_view>
+#include <chrono>
 #include <utility>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "gooseberryrock/transport/endpoint.h"
+#include "gooseberryrock/transport/http_message.h"
+#include "gooseberryrock/transport/server_connection.h"
+
 namespace gooseberryrock::http {
 
 namespace {
 
+namespace asio = boost::asio;
+namespace beast_http = boost::beast::http;
+
 // Larger replies are not read to their end.
 constexpr size_t kMaxReplyBytes = size_t{8} << 20U;
-
-// cxxtools reports a failed connect only by a message with this prefix.
-constexpr std::string_view kConnectFailure = "while trying to connect";
+// Longer than the deadline of any call, which ends an attempt to connect.
+constexpr Duration kConnectTimeout = std::chrono::hours(1);
+
+transport::Request MakeRequest(const BackendCall& call,
+                               const std::string& host,
+                               uint16_t port) {
+  transport::Request request(beast_http::verb::post, call.path, 11);
+  request.set(beast_http::field::host, host + ":" + std::to_string(port));
+  request.set(beast_http::field::content_type, "application/json");
+  request.body() = call.body;
+  request.prepare_payload();
+  return request;
+}
 
 }  // namespace
 
-BackendConnection::~BackendConnection() = default;
-
-BackendConnection::BackendConnection(cxxtools::Selector& selector,
-                                     const std::string& host,
+BackendConnection::BackendConnection(asio::io_context& context,
+                                     transport::ReplyMemory& memory,
+                                     std::string host,
                                      uint16_t port)
-    : client_(selector, host, port) {
-  cxxtools::connect(client_.requestSent, *this,
-                    &BackendConnection::OnRequestSent);
-  cxxtools::connect(client_.bodyAvailable, *this,
-                    &BackendConnection::OnBodyAvailable);
-  cxxtools::connect(client_.replyFinished, *this,
-                    &BackendConnection::OnReplyFinished);
+    : context_(context),
+      memory_(memory),
+      host_(std::move(host)),
+      port_(port),
+      self_(std::make_shared<BackendConnection*>(this)) {}
+
+BackendConnection::~BackendConnection() {
+  if (connection_) {
+    connection_->Close();
+  }
 }
 
 void BackendConnection::Begin(BackendCall call, SteadyTime now) {
-  request_ = std::make_unique<cxxtools::http::Request>(call.path);
-  request_->method("POST");
-  request_->setHeader("Content-Type", "application/json");
-  request_->body() << call.body;
   result_ = {};
   result_.attempt = call.attempt;
   result_.server = call.server;
@@ -54,77 +69,97 @@
   abandoned_ = false;
   finished_ = false;
   call_ = std::move(call);
-  try {
-    client_.beginExecute(*request_);
-  } catch (const std::exception& e) {
-    Fail(e);
+  on_used_connection_ = connection_ != nullptr;
+  if (connection_) {
+    Send();
+  } else {
+    Open();
   }
 }
 
-BackendResult BackendConnection::TakeResult(SteadyTime now) {
-  call_.reset();
-  finished_ = false;
-  result_.elapsed = now - started_at_;
-  return std::move(result_);
+void BackendConnection::Open() {
+  boost::system::error_code ec;
+  asio::ip::make_address(host_, ec);
+  if (!ec) {
+    Connect(host_);
+    return;
+  }
+  auto resolver = std::make_shared<asio::ip::tcp::resolver>(context_);
+  resolver->async_resolve(
+      host_, std::to_string(port_),
+      [resolver, weak = std::weak_ptr(self_)](
+          const boost::system::error_code& error,
+          const asio::ip::tcp::resolver::results_type& results) {
+        const auto self = weak.lock();
+        if (!self || (*self)->finished_) {
+          return;
+        }
+        if (error || results.empty()) {
+          (*self)->result_.refused = true;
+          (*self)->Finish(BackendResultKind::kNotSent);
+        } else {
+          (*self)->Connect(results.begin()->endpoint().address().to_string());
+        }
+      });
 }
 
-BackendResult BackendConnection::Abort(SteadyTime now) {
-  result_.kind = BackendResultKind::kLost;
-  reusable_ = false;
-  return TakeResult(now);
+void BackendConnection::Connect(const std::string& address) {
+  connection_ = std::make_shared<transport::ServerConnection>(
+      context_, memory_, host_ + ":" + std::to_string(port_));
+  connection_->Connect({address, port_}, kConnectTimeout,
+                       [this](bool connected) {
+                         if (connected) {
+                           Send();
+                         } else {
+                           result_.refused = true;
+                           Finish(BackendResultKind::kNotSent);
+                         }
+                       });
 }
 
-void BackendConnection::OnRequestSent(cxxtools::http::Client& /*client*/) {
+void BackendConnection::Send() {
   ++result_.times_sent;
+  connection_->Send(
+      MakeRequest(*call_, host_, port_), kMaxReplyBytes,
+      [this](transport::Reply reply) { OnReply(std::move(reply)); });
 }
 
-std::size_t BackendConnection::OnBodyAvailable(cxxtools::http::Client& client) {
-  std::istream& in = client.in();
-  const std::streamsize n = in.rdbuf()->in_avail();
-  if (n <= 0) {
-    return 0;
-  }
-  std::string buf(static_cast<size_t>(n), '\0');
-  in.read(buf.data(), n);
-  if (finished_) {
-    return buf.size();
+void BackendConnection::OnReply(transport::Reply reply) {
+  if (reply.status == transport::ReplyStatus::kComplete) {
+    result_.body = std::move(reply.response.body());
+    result_.http_status = static_cast<int>(reply.response.result_int());
+    answered_before_ = true;
+    reusable_ = reusable_ && reply.reusable;
+    Finish(BackendResultKind::kReply);
+    return;
   }
-  if (result_.body.size() + buf.size() > kMaxReplyBytes) {
-    // The channel closes the connection.
-    result_.body.clear();
-    result_.kind = BackendResultKind::kLost;
-    reusable_ = false;
-    finished_ = true;
-    return buf.size();
+  // A server may close an idle connection while the next call is on its way.
+  if (reply.status == transport::ReplyStatus::kConnectionLost &&
+      on_used_connection_ && !call_->at_most_once) {
+    on_used_connection_ = false;
+    connection_->Close();
+    Open();
+    return;
   }
-  result_.body += buf;
-  return buf.size();
+  Finish(BackendResultKind::kLost);
 }
 
-void BackendConnection::OnReplyFinished(cxxtools::http::Client& client) {
-  if (!call_ || finished_) {
-    return;
-  }
-  try {
-    client.endExecute();
-    result_.kind = BackendResultKind::kReply;
-    answered_before_ = true;
-    result_.http_status = static_cast<int>(client.header().httpReturnCode());
-    reusable_ = reusable_ && client.header().keepAlive();
-    finished_ = true;
-  } catch (const std::exception& e) {
-    Fail(e);
-  }
+BackendResult BackendConnection::TakeResult(SteadyTime now) {
+  call_.reset();
+  finished_ = false;
+  result_.elapsed = now - started_at_;
+  return std::move(result_);
 }
 
-void BackendConnection::Fail(const std::exception& error) {
-  const bool not_connected =
-      result_.times_sent == 0 &&
-      std::string_view(error.what()).starts_with(kConnectFailure);
-  result_.kind =
-      not_connected ? BackendResultKind::kNotSent : BackendResultKind::kLost;
-  result_.refused = not_connected;
+BackendResult BackendConnection::Abort(SteadyTime now) {
+  result_.kind = BackendResultKind::kLost;
   reusable_ = false;
+  return TakeResult(now);
+}
+
+void BackendConnection::Finish(BackendResultKind kind) {
+  result_.kind = kind;
+  reusable_ = reusable_ && kind == BackendResultKind::kReply;
   finished_ = true;
 }
 
