entry: limit crash probes to a server's share, and count held replies once

Cause: a lost connection to a server that runs was followed by a new connection each 200 ms while the others were busy, beyond the node's share of the server's limit; and a large part of a gathered request counted with its whole size after it had been cut.

Change: a probe keeps to the share, and any open connection half a second after the loss shows that the server runs. The memory of held replies is counted anew with each reply.

--- a/libs/entry/src/connection_pool.cc
+++ b/libs/entry/src/connection_pool.cc
@@ -122,7 +122,9 @@
 void ConnectionPool::Probe(relay::ServicePool& pool,
                            const BackendServerId& server) {
   relay::PoolServer* found = relay::FindServer(pool, server);
-  if (found != nullptr && ConnectionsOf(*found).opening == 0) {
+  if (found != nullptr && ConnectionsOf(*found).opening == 0 &&
+      (found->connections == 0 ||
+       found->connections < found->connection_share)) {
     Open(pool, *found);
   }
 }
--- a/libs/entry/src/connection_pool.h
+++ b/libs/entry/src/connection_pool.h
@@ -74,7 +74,8 @@
                const ConnectionPtr& connection,
                bool reusable);
 
-  // Opens a connection to find out whether the server's process runs.
+  // Opens a connection to find out whether the server's process runs, unless
+  // the server's share is in use.
   void Probe(relay::ServicePool& pool, const BackendServerId& server);
 
   // Keeps `prewarmed` connections open to a usable server, closes those above
--- a/libs/entry/src/entry_shard.h
+++ b/libs/entry/src/entry_shard.h
@@ -208,8 +208,8 @@
   void OnLost(AttemptKey key,
               relay::AttemptResult result,
               const std::string& cause);
-  // Accounts for a reply that the request keeps until it ends.
-  void HoldReply(ActiveRequest& active, size_t bytes);
+  // Accounts for the replies that the request keeps until it ends.
+  void HoldReplies(ActiveRequest& active);
   // Ends a request whose replies take too much memory.
   void GiveUpReplies(RequestNumber number);
   void OnNoConnection(AttemptKey key);
--- a/libs/entry/src/entry_shard_attempts.cc
+++ b/libs/entry/src/entry_shard_attempts.cc
@@ -260,8 +260,6 @@
     return;
   }
   ActiveRequest& active = *it->second;
-  const size_t held_bytes =
-      reply.response.body().capacity() + decoded.body.capacity();
   if (!active.state.IsPassedOn() &&
       (decoded.kind == relay::ReplyKind::kSuccess ||
        decoded.kind == relay::ReplyKind::kFailure)) {
@@ -280,11 +278,15 @@
                                      std::move(decoded), Context(), now));
   it = active_.find(in_flight_attempt.active);
   if (it != active_.end()) {
-    HoldReply(*it->second, held_bytes);
+    HoldReplies(*it->second);
   }
 }
 
-void EntryShard::HoldReply(ActiveRequest& active, size_t bytes) {
+void EntryShard::HoldReplies(ActiveRequest& active) {
+  size_t bytes = active.reply.body().capacity();
+  for (const relay::RequestPart& it : active.state.parts) {
+    bytes += it.body.capacity();
+  }
   if (active.held_replies.size() == 0) {
     active.held_replies.Start(&reply_memory_, "route " + active.route->name,
                               [this, number = active.number] {
@@ -294,7 +296,7 @@
                                 });
                               });
   }
-  active.held_replies.Resize(active.held_replies.size() + bytes);
+  active.held_replies.Resize(bytes);
 }
 
 void EntryShard::GiveUpReplies(RequestNumber number) {
--- a/libs/entry/src/entry_shard_crashes.cc
+++ b/libs/entry/src/entry_shard_crashes.cc
@@ -151,11 +151,10 @@
     }
     relay::ServicePool& pool = PoolOf(record->second.service);
     const relay::PoolServer* server = relay::FindServer(pool, id);
-    const bool is_connected = server != nullptr && server->idle_connections > 0;
-    if (is_connected && now - lost.lost_at > kCrashTime) {
-      lost.has_process = true;
-    } else if (!is_connected) {
+    if (server == nullptr || server->connections == 0) {
       connections_.Probe(pool, id);
+    } else if (now - lost.lost_at > kCrashTime) {
+      lost.has_process = true;
     }
   }
 }
