tests: decode the records of crashes in polls

Cause: the fuzz test of frame bodies did not cover the new field.

Change: CrashNoticesAreDecodedOrRefusedByType checks that notices arrive unchanged and that random and oversized ones are refused by type.

--- a/tests/peer/decoder_fuzz_test.cc
+++ b/tests/peer/decoder_fuzz_test.cc
@@ -4,10 +4,13 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <chrono>
 #include <cstdio>
 #include <random>
 #include <string>
+#include <vector>
 
+#include "gooseberryrock/claims/crash_history.h"
 #include "gooseberryrock/claims/crash_suspects.h"
 #include "gooseberryrock/directory/directory.h"
 #include "gooseberryrock/directory/directory_exchange.h"
@@ -162,5 +165,37 @@
            30);
 }
 
+// The same for the records of crashes in polls and their replies. Also guards
+// against a record that reaches the other node changed.
+TEST(DecoderFuzzTest, CrashNoticesAreDecodedOrRefusedByType) {
+  google::protobuf::SetLogHandler(nullptr);
+  const std::vector<claims::CrashNotice> notices = {
+      {1,
+       {2, 3},
+       {4},
+       std::chrono::milliseconds(5),
+       std::chrono::milliseconds(6)},
+      {7, {}, {8}, Duration::zero(), Duration::zero()}};
+  proto::EntryPoll good;
+  proto::AddCrashNotices(notices, *good.mutable_crashes());
+  EXPECT_EQ(proto::ReadCrashNotices(good.crashes()), notices);
+  std::mt19937_64 rng(31);
+  const std::string bytes = good.SerializeAsString();
+  for (int n = 0; n < kInputs / 10; ++n) {
+    proto::EntryPoll message;
+    if (message.ParseFromString(Mutate(bytes, rng))) {
+      try {
+        proto::ReadCrashNotices(message.crashes());
+      } catch (const proto::MalformedMessageError&) {
+      }
+    }
+  }
+  for (size_t i = 0; i < claims::kMaxCrashIds; ++i) {
+    good.mutable_crashes(0)->add_cleared(i);
+  }
+  EXPECT_THROW(proto::ReadCrashNotices(good.crashes()),
+               proto::MalformedMessageError);
+}
+
 }  // namespace
 }  // namespace gooseberryrock::peer
