transport, tests: follow the linter

Cause: clang-tidy reported a name that Beast prescribes and two loops that append to vectors of known size.

Change: the name has an exception, the vectors reserve their size.

--- a/libs/transport/src/server_connection.cc
+++ b/libs/transport/src/server_connection.cc
@@ -29,7 +29,8 @@
 // A body that takes memory for the bytes that have arrived. The string body of
 // Beast reserves the whole Content-Length at the start.
 struct ReplyBody : http::string_body {
-  class reader {
+  // The name that Beast looks for.
+  class reader {  // NOLINT(readability-identifier-naming)
    public:
     template <bool kIsRequest, class Fields>
     reader(http::header<kIsRequest, Fields>& /*header*/, value_type& body)
--- a/tests/process/tier_memory_test.cc
+++ b/tests/process/tier_memory_test.cc
@@ -70,6 +70,7 @@
   int CountSoundAnswers(const std::string& target, const std::string& other) {
     std::atomic<bool> stop = false;
     std::vector<std::thread> callers;
+    callers.reserve(kCallers);
     for (int i = 0; i < kCallers; ++i) {
       callers.emplace_back([&] {
         while (!stop) {
--- a/tests/transport/reply_memory_test.cc
+++ b/tests/transport/reply_memory_test.cc
@@ -133,8 +133,10 @@
   for (const auto& script : scripts) {
     RawServer endless(script);
     LimitedCaller caller;
+    constexpr int kCalls = 32;
     std::vector<std::future<Reply>> replies;
-    for (int i = 0; i < 32; ++i) {
+    replies.reserve(kCalls);
+    for (int i = 0; i < kCalls; ++i) {
       replies.push_back(caller.Call("endless", endless.port()));
     }
     size_t max_used = 0;
