http: report a call as lost if only its repetition was not sent

A call that was sent on a used connection, lost with it and then refused a new connection was reported as not sent, although the server may have run it.

Cause: since any failure to connect counted as not sent.

Change: OnNotConnected() decides it for the failure to resolve and the failure to connect, which had the same lines each.

--- a/libs/http/include/gooseberryrock/http/backend_connection.h
+++ b/libs/http/include/gooseberryrock/http/backend_connection.h
@@ -68,6 +68,7 @@
  private:
   void Open();
   void Connect(const std::string& address);
+  void OnNotConnected();
   void Send();
   void OnReply(transport::Reply reply);
   void Finish(BackendResultKind kind);
--- a/libs/http/src/backend_connection.cc
+++ b/libs/http/src/backend_connection.cc
@@ -95,8 +95,7 @@
           return;
         }
         if (error || results.empty()) {
-          (*self)->result_.refused = true;
-          (*self)->Finish(BackendResultKind::kNotSent);
+          (*self)->OnNotConnected();
         } else {
           (*self)->Connect(results.begin()->endpoint().address().to_string());
         }
@@ -111,12 +110,18 @@
                          if (connected) {
                            Send();
                          } else {
-                           result_.refused = true;
-                           Finish(BackendResultKind::kNotSent);
+                           OnNotConnected();
                          }
                        });
 }
 
+void BackendConnection::OnNotConnected() {
+  // A call that is sent again may have run the first time.
+  result_.refused = result_.times_sent == 0;
+  Finish(result_.refused ? BackendResultKind::kNotSent
+                         : BackendResultKind::kLost);
+}
+
 void BackendConnection::Send() {
   ++result_.times_sent;
   connection_->Send(
--- a/tests/http/backend_fault_test.cc
+++ b/tests/http/backend_fault_test.cc
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <chrono>
 #include <future>
+#include <memory>
 #include <string>
 #include <thread>
 #include <utility>
@@ -115,6 +116,26 @@
   EXPECT_EQ(requests, 3);
 }
 
+// A call that was sent and lost with its connection may have run, and must not
+// be reported as not sent when the server then refuses a new connection.
+TEST(BackendFaultTest, LostCallIsNotReportedAsNotSent) {
+  std::promise<void> second_call;
+  auto server = std::make_unique<RawServer>([&](RawSocket& socket, size_t) {
+    ReadCall(socket);
+    socket.Send(OkReply("ok"));
+    if (!ReadCall(socket).empty()) {
+      second_call.set_value();
+      socket.ReadUntil("never", kCallTime);
+    }
+  });
+  OneServerChannel channel(server->port(), /*max_connections=*/1);
+  ASSERT_EQ(channel.Call().kind, BackendResultKind::kReply);
+  auto call = std::async(std::launch::async, [&] { return channel.Call(); });
+  second_call.get_future().wait();
+  server.reset();
+  EXPECT_EQ(call.get().kind, BackendResultKind::kLost);
+}
+
 // A non-idempotent call must not reach a server twice.
 TEST(BackendFaultTest, AtMostOnceCallIsSentOnceAndLost) {
   std::atomic<int> requests = 0;
