transport: refuse replies whose status is out of range

Callers got replies of backend servers whose status was 000 to 099 or 600 to 999 as answers, and after a status line with 000 and no length the whole true reply that followed as the body of the first one.

Cause: the parser of Beast accepts any three digits. A status without a length has a body up to the end of the connection.

Change: ReplyParser, on the basic parser of Beast, refuses status codes outside of 100 to 599. It replaces the body type that server_connection.cc had, so that all who use ServerConnection have it: entry nodes, gathering nodes and the product's own interface. The attempt counts as lost and may have run: a request that may be repeated goes to another server, any other one is answered 502. The log line attempt_lost says cause=reply for a malformed reply, not connection.

Other faults in the status line were refused before (MalformedStatusLinesAreRefused).

--- a/libs/entry/src/entry_shard_attempts.cc
+++ b/libs/entry/src/entry_shard_attempts.cc
@@ -44,6 +44,20 @@
   return relay::AttemptResult::kServerError;
 }
 
+// For the log line `attempt_lost`.
+const char* LossCause(transport::ReplyStatus status) {
+  switch (status) {
+    case transport::ReplyStatus::kMalformed:
+      return "reply";
+    case transport::ReplyStatus::kGivenUp:
+      return "memory";
+    case transport::ReplyStatus::kConnectionLost:
+    case transport::ReplyStatus::kComplete:
+      break;
+  }
+  return "connection";
+}
+
 }  // namespace
 
 void EntryShard::Send(RequestNumber number,
@@ -186,9 +200,7 @@
     if (reply.status == transport::ReplyStatus::kConnectionLost) {
       RecordLostRun(in_flight_attempt, BootTime());
     }
-    OnLost(key, relay::AttemptResult::kLost,
-           reply.status == transport::ReplyStatus::kGivenUp ? "memory"
-                                                            : "connection");
+    OnLost(key, relay::AttemptResult::kLost, LossCause(reply.status));
     return;
   }
   const std::string answered = codec_.reply_request_id(reply.response);
--- a/libs/transport/src/server_connection.cc
+++ b/libs/transport/src/server_connection.cc
@@ -8,14 +8,13 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/buffer_traits.hpp>
-#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
 #include "gooseberryrock/transport/endpoint.h"
 #include "gooseberryrock/transport/memory_reservation.h"
 #include "message_framing.h"
+#include "reply_parser.h"
 #include "socket_options.h"
 
 namespace gooseberryrock::transport {
@@ -26,35 +25,6 @@
 
 namespace {
 
-// A body that takes memory for the bytes that have arrived. The string body of
-// Beast reserves the whole Content-Length at the start.
-struct ReplyBody : http::string_body {
-  // The name that Beast looks for.
-  class reader {  // NOLINT(readability-identifier-naming)
-   public:
-    template <bool kIsRequest, class Fields>
-    reader(http::header<kIsRequest, Fields>& /*header*/, value_type& body)
-        : body_(body) {}
-
-    void init(const boost::optional<uint64_t>& /*length*/, ErrorCode& ec) {
-      ec = {};
-    }
-    template <class Buffers>
-    size_t put(const Buffers& buffers, ErrorCode& ec) {
-      ec = {};
-      for (const asio::const_buffer it :
-           boost::beast::buffers_range_ref(buffers)) {
-        body_.append(static_cast<const char*>(it.data()), it.size());
-      }
-      return boost::beast::buffer_bytes(buffers);
-    }
-    void finish(ErrorCode& ec) { ec = {}; }
-
-   private:
-    value_type& body_;
-  };
-};
-
 // Interim replies that are skipped before the final one.
 constexpr int kMaxInterimReplies = 8;
 
@@ -88,7 +58,7 @@
   boost::beast::flat_buffer buffer;
   Request request;
   bool writing = false;
-  std::optional<http::response_parser<ReplyBody>> parser;
+  std::optional<ReplyParser> parser;
   size_t max_body = 0;
   // Null if the memory for replies is not limited.
   ReplyMemory* const memory;
@@ -242,7 +212,7 @@
     return;
   }
   if (!impl.given_up) {
-    impl.reservation.Resize(impl.parser->get().body().capacity());
+    impl.reservation.Resize(impl.parser->body().capacity());
   }
   if (impl.given_up) {
     Finish(ReplyStatus::kGivenUp);
@@ -257,7 +227,7 @@
 void ServerConnection::GiveUp() {
   Impl& impl = *impl_;
   impl.given_up = true;
-  std::string().swap(impl.parser->get().body());
+  std::string().swap(impl.parser->body());
   ErrorCode ignored;
   impl.socket.close(ignored);
 }
@@ -277,9 +247,7 @@
     // completely, would be mistaken for part of the next exchange.
     reply.reusable =
         impl.parser->keep_alive() && !impl.writing && impl.buffer.size() == 0;
-    auto message = impl.parser->release();
-    reply.response =
-        Response(std::move(message.base()), std::move(message.body()));
+    reply.response = impl.parser->Release();
   }
   impl.parser.reset();
   FreeLargeBuffer(impl.buffer);
--- a/tests/http/backend_fault_test.cc
+++ b/tests/http/backend_fault_test.cc
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "gooseberryrock/http/backend_channel.h"
+#include "malformed_headers.h"
 #include "raw_socket.h"
 
 namespace gooseberryrock::http {
@@ -205,6 +206,26 @@
   EXPECT_EQ(channel.Call(/*at_most_once=*/true).kind, BackendResultKind::kLost);
 }
 
+// A reply whose header is not valid HTTP must not be reported as one, sent at
+// once or byte by byte. The call may have run.
+TEST(BackendFaultTest, MalformedHeadersAreLost) {
+  for (const std::string& header : MalformedHeaders()) {
+    for (const bool byte_by_byte : {false, true}) {
+      RawServer server([&](RawSocket& socket, size_t /*number*/) {
+        if (ReadCall(socket).empty()) {
+          return;
+        }
+        const std::string reply = header + "Content-Length: 2\r\n\r\n{}";
+        byte_by_byte ? socket.SendByteByByte(reply) : socket.Send(reply);
+      });
+      OneServerChannel channel(server.port());
+      EXPECT_EQ(channel.Call(/*at_most_once=*/true).kind,
+                BackendResultKind::kLost)
+          << header;
+    }
+  }
+}
+
 // A server that stops responding must not hold a connection of the limit
 // forever.
 TEST(BackendFaultTest, CallPastDeadlineIsLostAndFreesItsConnection) {
--- /dev/null
+++ b/tests/http/malformed_headers.cc
@@ -0,0 +1,15 @@
+// Headers of replies that are not valid HTTP.
+
+#include "malformed_headers.h"
+
+namespace gooseberryrock::http {
+
+std::vector<std::string> MalformedHeaders() {
+  return {
+      "HTTP/1.1 000 X\r\n", "HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK\r\n",
+      "HTTP/1.1 099 X\r\n", "HTTP/1.1 600 X\r\n",
+      "HTTP/1.1 999 X\r\n",
+  };
+}
+
+}  // namespace gooseberryrock::http
--- a/tests/http/raw_socket.cc
+++ b/tests/http/raw_socket.cc
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -63,6 +64,17 @@
   return true;
 }
 
+bool RawSocket::SendByteByByte(std::string_view text) {
+  const int enabled = 1;
+  ::setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
+  for (size_t n = 0; n < text.size(); ++n) {
+    if (!Send(text.substr(n, 1))) {
+      return false;
+    }
+  }
+  return true;
+}
+
 bool RawSocket::ReadSome(std::string& text, SteadyTime until) {
   const auto left = std::chrono::ceil<std::chrono::milliseconds>(
       until - std::chrono::steady_clock::now());
--- a/tests/http/raw_socket.h
+++ b/tests/http/raw_socket.h
@@ -30,6 +30,8 @@
 
   // Returns false if the peer has closed the connection.
   bool Send(std::string_view text);
+  // Sends each byte by itself, so that the peer mostly reads it by itself.
+  bool SendByteByByte(std::string_view text);
   // Reads until the text contains `end` and returns it, or less if the peer
   // closes the connection or `timeout` passes first.
   std::string ReadUntil(std::string_view end, Duration timeout);
--- /dev/null
+++ b/tests/transport/malformed_reply_test.cc
@@ -0,0 +1,102 @@
+// Tests replies whose status line, header or trailer is not valid HTTP
+// (RFC 9110, section 15, and RFC 9112, sections 5 and 7.1.2).
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+#include "gooseberryrock/transport/server_connection.h"
+#include "raw_socket.h"
+#include "server_caller.h"
+
+namespace gooseberryrock::transport {
+namespace {
+
+using http::RawServer;
+using http::RawSocket;
+using std::chrono::seconds;
+
+constexpr size_t kMaxBody = 10000;
+constexpr std::string_view kOk = "HTTP/1.1 200 OK\r\n";
+// The rest of a reply after a field, and of a reply with a trailer after its
+// last chunk.
+constexpr std::string_view kBody = "Content-Length: 5\r\n\r\nabcde";
+constexpr std::string_view kChunkedBody =
+    "Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\n";
+
+using Parts = std::initializer_list<std::string_view>;
+
+std::string Join(Parts parts) {
+  std::string text;
+  for (const std::string_view it : parts) {
+    text += it;
+  }
+  return text;
+}
+
+class MalformedReplyTest : public testing::Test {
+ protected:
+  // Returns the reply to one request, to which the server sends `text`.
+  Reply Call(const std::string& text, bool byte_by_byte = false) {
+    RawServer server([&](RawSocket& socket, size_t) {
+      socket.ReadUntil("\r\n\r\n", seconds(1));
+      byte_by_byte ? socket.SendByteByByte(text) : socket.Send(text);
+    });
+    return caller_.Call(server.port(), kMaxBody);
+  }
+
+  // Expects the status, whether the reply is sent at once or byte by byte.
+  void ExpectStatus(Parts parts, ReplyStatus status) {
+    const std::string text = Join(parts);
+    EXPECT_EQ(Call(text).status, status) << text;
+    EXPECT_EQ(Call(text, /*byte_by_byte=*/true).status, status) << text;
+  }
+
+  ServerCaller caller_;
+};
+
+// Guards against a reply that a caller gets with a status that HTTP does not
+// have, which the caller can take for anything.
+TEST_F(MalformedReplyTest, StatusOutOfRangeIsRefused) {
+  for (int status = 0; status <= 999; ++status) {
+    std::string digits = std::to_string(status);
+    digits.insert(0, 3 - digits.size(), '0');
+    const Reply reply = Call(Join({"HTTP/1.1 ", digits, " X\r\n", kBody}));
+    if (status >= 200 && status <= 599) {
+      EXPECT_EQ(reply.status, ReplyStatus::kComplete) << status;
+      EXPECT_EQ(reply.response.result_int(), static_cast<unsigned>(status));
+    } else {
+      EXPECT_NE(reply.status, ReplyStatus::kComplete) << status;
+    }
+  }
+}
+
+// Guards against a reply without a valid status that becomes the start of the
+// reply after it, which is then taken for its body.
+TEST_F(MalformedReplyTest, ReplyAfterStatusOutOfRangeIsNotItsBody) {
+  for (const std::string_view status : {"000", "001", "099", "600", "999"}) {
+    ExpectStatus({"HTTP/1.1 ", status, " X\r\n\r\n", kOk, kBody},
+                 ReplyStatus::kMalformed);
+    ExpectStatus({"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 ", status,
+                  " X\r\n\r\n", kOk, kBody},
+                 ReplyStatus::kMalformed);
+    ExpectStatus({"HTTP/1.0 ", status, "\r\n\r\n"}, ReplyStatus::kMalformed);
+  }
+}
+
+// Guards against other faults in the status line.
+TEST_F(MalformedReplyTest, MalformedStatusLinesAreRefused) {
+  for (const std::string_view line :
+       {"HTTP/1.1 20", "HTTP/1.1 2000 OK", "HTTP/1.1 -20 OK", "HTTP/1.1 2x0 OK",
+        "HTTP/1.1  200 OK", "HTTP/1.1\t200 OK", " HTTP/1.1 200 OK",
+        "HTTP/2.0 200 OK", "HTTP/1.1 200 O\x01K", "HTTP/1.1 200 O\x7fK",
+        "HTTP/1.1 200 O\nK"}) {
+    ExpectStatus({line, "\r\n", kBody}, ReplyStatus::kMalformed);
+  }
+}
+
+}  // namespace
+}  // namespace gooseberryrock::transport
--- a/tests/transport/reply_fuzz_test.cc
+++ b/tests/transport/reply_fuzz_test.cc
@@ -50,7 +50,8 @@
   text += Pick(random, {"HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\n",
                         "HTTP/1.1 200 OK\r\n", "HTTP/1.1 503 No\r\n",
                         "HTTP/1.1 204 No Content\r\n", "HTTP/1.0 200 OK\r\n",
-                        "HTTP/1.1 2000 OK\r\n", "HTTP/2 200 OK\r\n", "\r\n"});
+                        "HTTP/1.1 2000 OK\r\n", "HTTP/2 200 OK\r\n", "\r\n",
+                        "HTTP/1.1 000 X\r\n", "HTTP/1.1 600 X\r\n"});
   if (random() % 32 == 0) {
     text += "X: " + std::string(kLongSize, 'a') + "\r\n";
   }
--- a/tests/transport/strict_reader.cc
+++ b/tests/transport/strict_reader.cc
@@ -171,6 +171,7 @@
     constexpr size_t kStatusEnd = 12;
     if ((!is_old && !line.starts_with("HTTP/1.1 ")) ||
         line.size() < kStatusEnd ||
+        !IsMadeOf(line.substr(kStatusAt, 1), "12345") ||
         !IsMadeOf(line.substr(kStatusAt, 3), "0123456789") ||
         (line.size() > kStatusEnd && line[kStatusEnd] != ' ')) {
       Fail();
