transport: refuse folded lines in replies

A line of a reply that started with a blank became part of the field before it, also of the digest of the reply, and callers got the reply as an answer.

Cause: the parser of Beast joins folded lines. Only responses in a container of type message/http may have them (RFC 9112, section 5.2), and readers differ in what they make of them.

Change: ReplyParser refuses a field whose line is continued, in headers, interim replies and trailers. The basic parser reports a field only when its input has the byte after the end of the line.

Evidence: with the tests on, MalformedReplyTest.FoldedLinesAreRefused, BackendFaultTest.MalformedHeadersAreLost, ReplyFuzzTest and the tests of TierReplyTest and GatherReplyTest fail for folded lines: parts with one were in gathered answers, through a gathering node too. They pass with the change. The strict reader of ReplyFuzzTest refuses folded lines in replies now, which it accepted like the parser.

--- a/libs/transport/src/reply_parser.cc
+++ b/libs/transport/src/reply_parser.cc
@@ -13,6 +13,19 @@
 constexpr int kMinStatus = 100;
 constexpr int kMaxStatus = 599;
 
+// Whether the line after the one of the field continues it. `name` must be a
+// part of the parser's input: the parser reports a field only when its input
+// has the byte after the end of the line, and passes on folded lines as one.
+bool IsFolded(boost::beast::string_view name) {
+  const char* it = name.data() + name.size();
+  while (*it != '\r') {
+    ++it;
+  }
+  constexpr size_t kLineEndBytes = 2;
+  const char next = it[kLineEndBytes];
+  return next == ' ' || next == '\t';
+}
+
 }  // namespace
 
 void ReplyParser::on_request_impl(http::verb /*method*/,
@@ -37,8 +50,12 @@
 void ReplyParser::on_field_impl(http::field field,
                                 StringView name,
                                 StringView value,
-                                ErrorCode& /*ec*/) {
-  response_.insert(field, name, value);
+                                ErrorCode& ec) {
+  if (IsFolded(name)) {
+    ec = http::error::bad_value;
+  } else {
+    response_.insert(field, name, value);
+  }
 }
 
 void ReplyParser::on_header_impl(ErrorCode& /*ec*/) {}
--- a/libs/transport/src/reply_parser.h
+++ b/libs/transport/src/reply_parser.h
@@ -14,7 +14,8 @@
 
 namespace gooseberryrock::transport {
 
-// Refuses status codes outside of 100 to 599 (RFC 9110, section 15).
+// Refuses status codes outside of 100 to 599 and folded lines (RFC 9110,
+// section 15, and RFC 9112, section 5.2).
 // Takes memory only for the bytes of a body that have arrived, whatever its
 // Content-Length.
 class ReplyParser : public boost::beast::http::basic_parser<false> {
--- a/tests/process/tier_reply_test.cc
+++ b/tests/process/tier_reply_test.cc
@@ -34,6 +34,7 @@
 const std::vector<std::string> kMalformedHeaders = {
     "HTTP/1.1 000 X\r\nX-Server-Stamp: malformed\r\n\r\nHTTP/1.1 200 OK\r\n",
     "HTTP/1.1 600 X\r\n",
+    "HTTP/1.1 200 OK\r\nX: a\r\n b\r\n",
 };
 
 // Adds the stamp and the body that would make a reply with a valid header an
--- a/tests/transport/malformed_reply_test.cc
+++ b/tests/transport/malformed_reply_test.cc
@@ -98,5 +98,24 @@
   }
 }
 
+// Guards against a line that is taken as part of the field before it, for
+// example of the digest of the reply.
+TEST_F(MalformedReplyTest, FoldedLinesAreRefused) {
+  for (const std::string_view lines :
+       {"X: a\r\n b\r\n", "X: a\r\n\tb\r\n", "X: a\r\n \r\n", "X: a\r\n\t\r\n",
+        "X:\r\n b\r\n", "X: \r\n \t b\r\n", "X: a\r\n b\r\n c\r\n",
+        "X: a\r\n b: c\r\n", " X: a\r\n", "\tX: a\r\n", " \r\n"}) {
+    ExpectStatus({kOk, lines, kBody}, ReplyStatus::kMalformed);
+    ExpectStatus({kOk, "Y: z\r\n", lines, kBody}, ReplyStatus::kMalformed);
+    ExpectStatus({"HTTP/1.1 103 Early Hints\r\n", lines, "\r\n", kOk, kBody},
+                 ReplyStatus::kMalformed);
+    ExpectStatus({kOk, kChunkedBody, lines, "\r\n"}, ReplyStatus::kMalformed);
+  }
+  ExpectStatus({kOk, "Content-Length:\r\n 5\r\n\r\nabcde"},
+               ReplyStatus::kMalformed);
+  ExpectStatus({kOk, "Transfer-Encoding:\r\n chunked\r\n\r\n0\r\n\r\n"},
+               ReplyStatus::kMalformed);
+}
+
 }  // namespace
 }  // namespace gooseberryrock::transport
--- a/tests/transport/reply_fuzz_test.cc
+++ b/tests/transport/reply_fuzz_test.cc
@@ -90,8 +90,8 @@
          "5;" + long_text + "\r\nabcde\r\n", "11170\r\n" + long_text + "\r\n",
          "186a1\r\n" + long_text + "\r\n", "ffffffffffffffff\r\nabcde\r\n",
          "-5\r\nabcde\r\n", "0\r\n\r\n", "0\r\n\r\n", "0\r\nX: y\r\n\r\n",
-         "0\r\nX: " + long_text + "\r\n\r\n", "0\r\nContent-Length: 5\r\n\r\n",
-         long_text});
+         "0\r\nX: y\r\n z\r\n\r\n", "0\r\nX: " + long_text + "\r\n\r\n",
+         "0\r\nContent-Length: 5\r\n\r\n", long_text});
   }
   if (random() % 4 == 0) {
     text.resize(random() % (text.size() + 1));
--- a/tests/transport/strict_reader.cc
+++ b/tests/transport/strict_reader.cc
@@ -62,7 +62,8 @@
       return Fail();
     }
     // A line that starts with a space continues the field before.
-    if (values != nullptr && (line[0] == ' ' || line[0] == '\t')) {
+    if (values != nullptr && !refuses_folded_lines &&
+        (line[0] == ' ' || line[0] == '\t')) {
       values->back() += " " + Lower(Trim(line));
       continue;
     }
@@ -159,6 +160,7 @@
 }
 
 std::optional<std::string> StrictReader::TakeReply() {
+  refuses_folded_lines = true;
   for (int n = 0; n <= kMaxInterimReplies; ++n) {
     std::string_view line;
     std::vector<std::string> lengths;
--- a/tests/transport/strict_reader.h
+++ b/tests/transport/strict_reader.h
@@ -16,6 +16,8 @@
   std::string_view text;
   // Whether reading ended at a fault, not at the end of the text.
   bool faulty = false;
+  // Set by TakeReply(). Servers accept requests with folded lines.
+  bool refuses_folded_lines = false;
 
   // Reads a POST request to "/". Returns false at a fault or if it is cut.
   bool TakeRequest();
