transport: ignore the fields of trailers in replies

A server's 500 with a trailer that said "not run" became a 503 for the caller, which promises that the request was not run. The entry node took it for a refusal itself and sent the request, which must run at most once, to a second server.

Cause: the parser of Beast adds the fields of a trailer to those of the header.

Change: ReplyParser checks the fields of a trailer and drops them. The basic parser refuses Content-Length and Transfer-Encoding in a trailer, so that the second check of the framing is no longer needed.

--- a/libs/transport/src/reply_parser.cc
+++ b/libs/transport/src/reply_parser.cc
@@ -53,12 +53,14 @@
                                 ErrorCode& ec) {
   if (IsFolded(name)) {
     ec = http::error::bad_value;
-  } else {
+  } else if (!header_complete_) {
     response_.insert(field, name, value);
   }
 }
 
-void ReplyParser::on_header_impl(ErrorCode& /*ec*/) {}
+void ReplyParser::on_header_impl(ErrorCode& /*ec*/) {
+  header_complete_ = true;
+}
 
 void ReplyParser::on_body_init_impl(const boost::optional<uint64_t>& /*length*/,
                                     ErrorCode& /*ec*/) {}
--- a/libs/transport/src/reply_parser.h
+++ b/libs/transport/src/reply_parser.h
@@ -15,7 +15,7 @@
 namespace gooseberryrock::transport {
 
 // Refuses status codes outside of 100 to 599 and folded lines (RFC 9110,
-// section 15, and RFC 9112, section 5.2).
+// section 15, and RFC 9112, section 5.2), and ignores the fields of trailers.
 // Takes memory only for the bytes of a body that have arrived, whatever its
 // Content-Length.
 class ReplyParser : public boost::beast::http::basic_parser<false> {
@@ -57,6 +57,8 @@
   void on_finish_impl(ErrorCode& ec) override;
 
   Response response_;
+  // All further fields belong to a trailer.
+  bool header_complete_ = false;
 };
 
 }  // namespace gooseberryrock::transport
--- a/libs/transport/src/server_connection.cc
+++ b/libs/transport/src/server_connection.cc
@@ -235,11 +235,6 @@
 void ServerConnection::Finish(ReplyStatus status) {
   Impl& impl = *impl_;
   impl.reservation.End();
-  // The fields of a trailer are among those of the header now.
-  if (status == ReplyStatus::kComplete &&
-      CheckFraming(impl.parser->get()) != FramingProblem::kNone) {
-    status = ReplyStatus::kMalformed;
-  }
   Reply reply;
   reply.status = status;
   if (status == ReplyStatus::kComplete) {
--- a/tests/process/tier_reply_test.cc
+++ b/tests/process/tier_reply_test.cc
@@ -185,6 +185,30 @@
   }
 }
 
+// Guards against statements in a trailer that change what a reply means: a
+// failure that becomes "not run", or a reply without a digest that gets one.
+TEST_F(TierReplyTest, TrailersChangeNoReply) {
+  ReplaceServers(kSingle);
+  SetReply(
+      "HTTP/1.1 500 Error\r\nX-Server-Stamp: s\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n3\r\nzzz\r\n0\r\n"
+      "X-Not-Executed: 1\r\n\r\n");
+  auto response = SendUntilRun();
+  ASSERT_TRUE(response);
+  EXPECT_EQ(response->result(), beast_http::status::internal_server_error);
+  EXPECT_EQ((*response)["X-Server-Stamp"], "s");
+  EXPECT_EQ(response->count("X-Not-Executed"), 0U);
+  EXPECT_EQ(response->body(), "zzz");
+  SetReply(
+      "HTTP/1.1 200 OK\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n3\r\nzzz\r\n0\r\n"
+      "X-Server-Stamp: s\r\n\r\n");
+  response = SendUntilRun();
+  ASSERT_TRUE(response);
+  EXPECT_EQ(response->result(), beast_http::status::bad_gateway);
+  EXPECT_EQ(response->count("X-Server-Stamp"), 0U);
+}
+
 // Guards against a malformed part that ends a gathered request whose other
 // attempt would have been answered.
 TEST_F(TierReplyTest, MalformedPartIsTakenFromAnotherServer) {
--- a/tests/transport/malformed_reply_test.cc
+++ b/tests/transport/malformed_reply_test.cc
@@ -117,5 +117,26 @@
                ReplyStatus::kMalformed);
 }
 
+// Guards against fields of a trailer that count as fields of the header. They
+// are sent after the body and may state something else about the reply.
+TEST_F(MalformedReplyTest, TrailerFieldsAreNotHeaderFields) {
+  const std::string text =
+      Join({"HTTP/1.1 500 Error\r\nX: header\r\n", kChunkedBody,
+            "X: trailer\r\nY: trailer\r\n\r\n"});
+  for (const bool byte_by_byte : {false, true}) {
+    const Reply reply = Call(text, byte_by_byte);
+    EXPECT_EQ(reply.status, ReplyStatus::kComplete);
+    EXPECT_EQ(reply.response.result_int(), 500U);
+    EXPECT_EQ(reply.response.body(), "abcde");
+    EXPECT_EQ(reply.response.count("X"), 1U);
+    EXPECT_EQ(reply.response["X"], "header");
+    EXPECT_EQ(reply.response.count("Y"), 0U);
+  }
+  for (const std::string_view field :
+       {"Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n"}) {
+    ExpectStatus({kOk, kChunkedBody, field, "\r\n"}, ReplyStatus::kMalformed);
+  }
+}
+
 }  // namespace
 }  // namespace gooseberryrock::transport
