tests: send replies with malformed names and values of fields

Names of fields with blanks, control bytes or other bytes that HTTP does not allow, and values with control bytes, were refused before: the tests pass on too, at once and byte by byte, for connections to servers, the product's own interface, relayed requests and gathered parts, also through a gathering node.

--- a/tests/http/malformed_headers.cc
+++ b/tests/http/malformed_headers.cc
@@ -2,9 +2,12 @@
 
 #include "malformed_headers.h"
 
+#include <iterator>
+
 namespace gooseberryrock::http {
 
 std::vector<std::string> MalformedHeaders() {
+  constexpr char kNullInName[] = "HTTP/1.1 200 OK\r\nX\0Y: a\r\n";
   return {
       "HTTP/1.1 000 X\r\n",
       "HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK\r\n",
@@ -15,6 +18,13 @@
       "HTTP/1.1 200 OK\r\nX:\r\n\tb\r\n",
       "HTTP/1.1 200 OK\r\nX: a\r\n \r\n",
       "HTTP/1.1 200 OK\r\n X: a\r\n",
+      "HTTP/1.1 200 OK\r\nX Y: a\r\n",
+      "HTTP/1.1 200 OK\r\nX : a\r\n",
+      "HTTP/1.1 200 OK\r\nX\tY: a\r\n",
+      "HTTP/1.1 200 OK\r\nX\x01Y: a\r\n",
+      "HTTP/1.1 200 OK\r\nX\x7fY: a\r\n",
+      "HTTP/1.1 200 OK\r\nX: a\x01z\r\n",
+      std::string(kNullInName, std::size(kNullInName) - 1),
   };
 }
 
--- a/tests/process/tier_reply_test.cc
+++ b/tests/process/tier_reply_test.cc
@@ -35,6 +35,8 @@
     "HTTP/1.1 000 X\r\nX-Server-Stamp: malformed\r\n\r\nHTTP/1.1 200 OK\r\n",
     "HTTP/1.1 600 X\r\n",
     "HTTP/1.1 200 OK\r\nX: a\r\n b\r\n",
+    "HTTP/1.1 200 OK\r\nX Y: a\r\n",
+    "HTTP/1.1 200 OK\r\nX\x01Y: a\r\n",
 };
 
 // Adds the stamp and the body that would make a reply with a valid header an
--- a/tests/transport/malformed_reply_test.cc
+++ b/tests/transport/malformed_reply_test.cc
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <cctype>
 #include <chrono>
 #include <initializer_list>
 #include <string>
@@ -117,6 +118,42 @@
                ReplyStatus::kMalformed);
 }
 
+// Guards against names of fields that another reader takes for another name, or
+// for the end of the header.
+TEST_F(MalformedReplyTest, NamesWithOtherBytesAreRefused) {
+  for (int byte = 0; byte <= 0xff; ++byte) {
+    const char c = static_cast<char>(byte);
+    const std::string_view text(&c, 1);
+    // RFC 9110, section 5.6.2. A colon ends the name.
+    const bool allowed =
+        (byte < 0x80 && std::isalnum(byte) != 0) ||
+        std::string_view("!#$%&'*+-.^_`|~:").find(c) != std::string_view::npos;
+    const ReplyStatus expected =
+        allowed ? ReplyStatus::kComplete : ReplyStatus::kMalformed;
+    ExpectStatus({kOk, "X", text, "Y: z\r\n", kBody}, expected);
+    ExpectStatus({kOk, kChunkedBody, "X", text, "Y: z\r\n\r\n"}, expected);
+    if (!allowed) {
+      ExpectStatus({kOk, "X", text, ": z\r\n", kBody}, expected);
+      ExpectStatus({kOk, text, "X: z\r\n", kBody}, expected);
+    }
+  }
+  for (const std::string_view line :
+       {": z\r\n", "X\r\n", ":\r\n", "X\n: z\r\n"}) {
+    ExpectStatus({kOk, line, kBody}, ReplyStatus::kMalformed);
+  }
+}
+
+// Guards against control bytes in the value of a field, which callers would
+// get.
+TEST_F(MalformedReplyTest, ControlBytesInValuesAreRefused) {
+  for (int byte = 0; byte <= 0xff; ++byte) {
+    const char c = static_cast<char>(byte);
+    const bool allowed = (byte >= 0x20 && byte != 0x7f) || byte == '\t';
+    ExpectStatus({kOk, "X: a", std::string_view(&c, 1), "b\r\n", kBody},
+                 allowed ? ReplyStatus::kComplete : ReplyStatus::kMalformed);
+  }
+}
+
 // Guards against fields of a trailer that count as fields of the header. They
 // are sent after the body and may state something else about the reply.
 TEST_F(MalformedReplyTest, TrailerFieldsAreNotHeaderFields) {
