http: read the replies to single calls through transport

gbrctl, gbrload and the stand-in server took replies for answers that are not valid HTTP: gbrctl printed "complete" for a query that was answered with status 600, and "accepted" for a change whose reply had a folded line.

Cause: the client of cxxtools, which only Execute() still used, accepts status codes out of range, folded lines, blanks before a colon, control bytes in values and malformed trailers, and refuses valid trailers.

Change: Execute() uses ServerConnection, on an I/O context of its own until the reply or the timeout. Replies above 64 MiB are refused, so that one without end no longer fills the memory, and a field that is too long to be sent is an HttpError. gbrctl reports "outcome unknown" for a malformed reply.

--- a/libs/http/src/http_call.cc
+++ b/libs/http/src/http_call.cc
@@ -2,88 +2,99 @@
 
 #include "gooseberryrock/http/http_call.h"
 
-#include <cxxtools/connectable.h>
-#include <cxxtools/http/client.h>
-#include <cxxtools/http/request.h>
-#include <cxxtools/selector.h>
+#include <memory>
+#include <optional>
+#include <stdexcept>
+#include <utility>
 
-#include <istream>
+#include <boost/asio/io_context.hpp>
 
 #include "gooseberryrock/http/http_error.h"
+#include "gooseberryrock/transport/endpoint.h"
+#include "gooseberryrock/transport/http_message.h"
+#include "gooseberryrock/transport/server_connection.h"
 
 namespace gooseberryrock::http {
 
 namespace {
 
-// Runs one request through the asynchronous API of the client, because its
-// blocking API accepts a truncated chunked reply as complete.
-class Exchange : public cxxtools::Connectable {
- public:
-  explicit Exchange(const HttpCall& call)
-      : request_(call.path), client_(selector_, call.host, call.port) {
-    cxxtools::connect(client_.bodyAvailable, *this, &Exchange::OnBodyAvailable);
-    cxxtools::connect(client_.replyFinished, *this, &Exchange::OnReplyFinished);
-    request_.method(call.method);
-    for (const auto& [key, value] : call.headers) {
-      request_.setHeader(key.c_str(), value.c_str());
-    }
-    request_.setHeader("Connection", "close");
-    request_.body() << call.body;
-  }
+namespace beast_http = boost::beast::http;
 
-  // Throws a cxxtools exception if the exchange fails.
-  HttpReply Run(SteadyTime deadline) {
-    client_.beginExecute(request_);
-    while (!finished_) {
-      const Duration left = deadline - std::chrono::steady_clock::now();
-      if (left <= Duration::zero()) {
-        throw HttpError("no complete reply before the timeout");
-      }
-      selector_.wait(cxxtools::Milliseconds(
-          std::chrono::duration<double, std::milli>(left).count()));
-    }
-    client_.endExecute();
-    reply_.status = static_cast<int>(client_.header().httpReturnCode());
-    if (const char* type = client_.header().getHeader("Content-Type")) {
-      reply_.content_type = type;
-    }
-    return std::move(reply_);
-  }
+// Larger replies are refused.
+constexpr size_t kMaxReplyBytes = size_t{64} << 20U;
 
- private:
-  std::size_t OnBodyAvailable(cxxtools::http::Client& client) {
-    std::istream& in = client.in();
-    const std::streamsize n = in.rdbuf()->in_avail();
-    if (n <= 0) {
-      return 0;
-    }
-    std::string buf(static_cast<size_t>(n), '\0');
-    in.read(buf.data(), n);
-    reply_.body += buf;
-    return buf.size();
+transport::Request MakeRequest(const HttpCall& call) {
+  transport::Request request;
+  request.method_string(call.method);
+  request.target(call.path);
+  request.version(11);
+  const bool is_ipv6 = call.host.find(':') != std::string::npos;
+  request.set(beast_http::field::host,
+              (is_ipv6 ? "[" + call.host + "]" : call.host) + ":" +
+                  std::to_string(call.port));
+  for (const auto& [name, value] : call.headers) {
+    request.set(name, value);
   }
+  request.keep_alive(false);
+  request.body() = call.body;
+  request.prepare_payload();
+  return request;
+}
 
-  void OnReplyFinished(cxxtools::http::Client& /*client*/) { finished_ = true; }
-
-  cxxtools::Selector selector_;
-  // The client holds a pointer to the request until the reply has ended.
-  cxxtools::http::Request request_;
-  cxxtools::http::Client client_;
-  HttpReply reply_;
-  bool finished_ = false;
-};
+const char* ProblemOf(const std::optional<transport::Reply>& reply,
+                      bool connected) {
+  if (!connected) {
+    return "cannot connect";
+  }
+  if (!reply) {
+    return "no complete reply before the timeout";
+  }
+  return reply->status == transport::ReplyStatus::kMalformed
+             ? "the reply is too large or not valid HTTP"
+             : "the connection ended before a complete reply";
+}
 
 }  // namespace
 
 HttpReply Execute(const HttpCall& call) {
-  const SteadyTime deadline = std::chrono::steady_clock::now() + call.timeout;
+  const std::string name =
+      "request to " + call.host + ":" + std::to_string(call.port) + call.path;
+  transport::Request request;
   try {
-    return Exchange(call).Run(deadline);
-  } catch (const std::exception& e) {
-    throw HttpError("request to " + call.host + ":" +
-                    std::to_string(call.port) + call.path +
-                    " failed: " + e.what());
+    request = MakeRequest(call);
+  } catch (const std::length_error& e) {
+    // Beast throws on a field of 64 KiB.
+    throw HttpError(name + " cannot be sent: " + e.what());
+  }
+  boost::asio::io_context context(1);
+  auto connection = std::make_shared<transport::ServerConnection>(context);
+  bool connected = false;
+  std::optional<transport::Reply> reply;
+  connection->Connect(
+      {call.host, call.port}, call.timeout, [&](bool is_connected) {
+        connected = is_connected;
+        if (connected) {
+          connection->Send(
+              std::move(request), kMaxReplyBytes,
+              [&reply](transport::Reply it) { reply = std::move(it); });
+        }
+      });
+  context.run_for(call.timeout);
+  // Lets the handlers of the closed connection run while it exists.
+  connection->Close();
+  context.restart();
+  context.poll();
+  if (!reply || reply->status != transport::ReplyStatus::kComplete) {
+    throw HttpError(name + " failed: " + ProblemOf(reply, connected));
+  }
+  HttpReply result;
+  result.status = static_cast<int>(reply->response.result_int());
+  const auto type = reply->response.find(beast_http::field::content_type);
+  if (type != reply->response.end()) {
+    result.content_type = type->value().to_string();
   }
+  result.body = std::move(reply->response.body());
+  return result;
 }
 
 }  // namespace gooseberryrock::http
--- a/tests/ctl/ctl_test.cc
+++ b/tests/ctl/ctl_test.cc
@@ -18,6 +18,7 @@
 #include "gooseberryrock/proto/convert_catalog.h"
 #include "gooseberryrock/proto/json_codec.h"
 #include "operator.pb.h"
+#include "raw_socket.h"
 #include "standin_node.h"
 
 namespace gooseberryrock::ctl {
@@ -90,6 +91,27 @@
   EXPECT_EQ(node.ReceivedChanges().size(), 1U);
 }
 
+// Guards against a reply that is not valid HTTP and is taken for an outcome.
+// Status 600 and folded lines have none.
+TEST(MalformedReplyTest, OutcomeIsUnknown) {
+  http::RawServer node([](http::RawSocket& socket, size_t) {
+    const std::string request = socket.ReadRequest();
+    if (request.empty()) {
+      return;
+    }
+    const bool is_query = request.starts_with("POST /v1/query/");
+    const std::string body = is_query
+                                 ? R"({"status":"complete","end":true})"
+                                 : R"({"status":"ACCEPTED","version":"6"})";
+    socket.Send(std::string("HTTP/1.1 ") +
+                (is_query ? "600 X\r\n" : "200 OK\r\nX: a\r\n b\r\n") +
+                "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+                body);
+  });
+  ExpectTranscript(kSourceFolder / "tests/ctl/malformed_reply.txt",
+                   node.port());
+}
+
 class ServiceDefinitionTest : public testing::TestWithParam<std::string> {};
 
 // Guards against example definitions that nodes reject.
--- a/tests/http/http_call_test.cc
+++ b/tests/http/http_call_test.cc
@@ -8,8 +8,10 @@
 #include <atomic>
 #include <chrono>
 #include <string>
+#include <vector>
 
 #include "gooseberryrock/http/http_error.h"
+#include "malformed_headers.h"
 #include "raw_socket.h"
 
 namespace gooseberryrock::http {
@@ -51,6 +53,54 @@
   }
 }
 
+// A reply whose header or trailer is not valid HTTP must not be returned:
+// gbrctl would report an outcome that no node has sent.
+TEST(HttpCallTest, ThrowsOnMalformedReply) {
+  std::vector<std::string> replies;
+  for (const std::string& header : MalformedHeaders()) {
+    replies.push_back(header + "Content-Length: 2\r\n\r\n{}");
+  }
+  for (const std::string field :
+       {"X Y: a\r\n", "X: a\r\n b\r\n", "Content-Length: 2\r\n"}) {
+    replies.push_back(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "2\r\n{}\r\n0\r\n" +
+        field + "\r\n");
+  }
+  for (const std::string& reply : replies) {
+    for (const bool byte_by_byte : {false, true}) {
+      RawServer server([&](RawSocket& socket, size_t /*number*/) {
+        socket.ReadRequest();
+        byte_by_byte ? socket.SendByteByByte(reply) : socket.Send(reply);
+      });
+      EXPECT_THROW(Execute(CallTo(server.port())), HttpError) << reply;
+    }
+  }
+}
+
+// A field of a trailer must not replace one of the header.
+TEST(HttpCallTest, IgnoresFieldsOfTrailer) {
+  RawServer server([&](RawSocket& socket, size_t /*number*/) {
+    socket.ReadRequest();
+    socket.Send(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "5\r\nhello\r\n0\r\nContent-Type: text/plain\r\n\r\n");
+  });
+  const HttpReply reply = Execute(CallTo(server.port()));
+  EXPECT_EQ(reply.status, 200);
+  EXPECT_EQ(reply.body, "hello");
+  EXPECT_EQ(reply.content_type, HttpReply().content_type);
+}
+
+// A field that cannot be encoded must be reported like any other failed call.
+TEST(HttpCallTest, ThrowsOnLongField) {
+  RawServer server([](RawSocket& socket, size_t) { socket.ReadRequest(); });
+  HttpCall call = CallTo(server.port());
+  call.headers["X"] = std::string(70000, 'a');
+  EXPECT_THROW(Execute(call), HttpError);
+  EXPECT_EQ(server.connections(), 0U);
+}
+
 // A call must not exceed its timeout, before the header or within the body.
 TEST(HttpCallTest, ObservesTimeout) {
   for (const std::string reply :
