--- a/tests/process/tier_reply_test.cc
+++ b/tests/process/tier_reply_test.cc
@@ -211,6 +211,26 @@
   EXPECT_EQ(response->count("X-Server-Stamp"), 0U);
 }
 
+// Guards against a status that promises a caller that its request was not run,
+// although the server has not stated so in the header of its reply.
+TEST_F(TierReplyTest, OnlyServersPromiseThatARequestWasNotRun) {
+  ReplaceServers(kSingle);
+  for (const std::string status : {"408", "429", "503"}) {
+    for (const std::string rest :
+         {"Content-Length: 3\r\n\r\nzzz",
+          "Transfer-Encoding: chunked\r\n\r\n3\r\nzzz\r\n0\r\n"
+          "X-Not-Executed: 1\r\n\r\n"}) {
+      std::string it = "HTTP/1.1 " + status + " X\r\n";
+      it += "X-Server-Stamp: s\r\n" + rest;
+      SetReply(it);
+      const auto response = SendUntilRun();
+      ASSERT_TRUE(response) << it;
+      EXPECT_EQ(response->result(), beast_http::status::bad_gateway) << it;
+      EXPECT_EQ(response->count("X-Server-Stamp"), 0U) << it;
+    }
+  }
+}
+
 // Guards against a malformed part that ends a gathered request whose other
 // attempt would have been answered.
 TEST_F(TierReplyTest, MalformedPartIsTakenFromAnotherServer) {
