http: resolve the host of a single call again

gbrload and the stand-in server no longer reached nodes that are given by name, such as localhost:8080.

Change: Execute() resolves the host and tries its addresses in turn until one accepts the connection; the request is sent once, on that one. The declaration names malformed and large replies among the errors.

--- a/libs/http/include/gooseberryrock/http/http_call.h
+++ b/libs/http/include/gooseberryrock/http/http_call.h
@@ -13,7 +13,7 @@
 namespace gooseberryrock::http {
 
 struct HttpCall {
-  // Numeric IP address and TCP port.
+  // Numeric IP address or name, and TCP port.
   std::string host;
   uint16_t port = 0;
   std::string method = "POST";
@@ -24,8 +24,9 @@
 };
 
 // Opens a connection, sends the request once and returns the complete reply.
-// Throws HttpError if the server cannot be reached, the timeout passes or the
-// connection ends early; the server may have run the request in that case.
+// Throws HttpError if the server cannot be reached, the timeout passes, the
+// connection ends early, or the reply is not valid HTTP or larger than 64 MiB;
+// the server may have run the request in that case.
 HttpReply Execute(const HttpCall& call);
 
 }  // namespace gooseberryrock::http
--- a/libs/http/src/http_call.cc
+++ b/libs/http/src/http_call.cc
@@ -2,12 +2,15 @@
 
 #include "gooseberryrock/http/http_call.h"
 
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <stdexcept>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 
 #include "gooseberryrock/http/http_error.h"
 #include "gooseberryrock/transport/endpoint.h"
@@ -18,6 +21,7 @@
 
 namespace {
 
+namespace asio = boost::asio;
 namespace beast_http = boost::beast::http;
 
 // Larger replies are refused.
@@ -54,9 +58,22 @@
              : "the connection ended before a complete reply";
 }
 
+// Returns the addresses of `host`; itself if it is numeric.
+std::vector<std::string> Resolve(asio::io_context& context,
+                                 const std::string& host) {
+  std::vector<std::string> addresses;
+  boost::system::error_code ec;
+  for (const auto& it :
+       asio::ip::tcp::resolver(context).resolve(host, "", ec)) {
+    addresses.push_back(it.endpoint().address().to_string());
+  }
+  return addresses;
+}
+
 }  // namespace
 
 HttpReply Execute(const HttpCall& call) {
+  const SteadyTime deadline = std::chrono::steady_clock::now() + call.timeout;
   const std::string name =
       "request to " + call.host + ":" + std::to_string(call.port) + call.path;
   transport::Request request;
@@ -66,24 +83,30 @@
     // Beast throws on a field of 64 KiB.
     throw HttpError(name + " cannot be sent: " + e.what());
   }
-  boost::asio::io_context context(1);
-  auto connection = std::make_shared<transport::ServerConnection>(context);
+  asio::io_context context(1);
   bool connected = false;
   std::optional<transport::Reply> reply;
-  connection->Connect(
-      {call.host, call.port}, call.timeout, [&](bool is_connected) {
-        connected = is_connected;
-        if (connected) {
-          connection->Send(
-              std::move(request), kMaxReplyBytes,
-              [&reply](transport::Reply it) { reply = std::move(it); });
-        }
-      });
-  context.run_for(call.timeout);
-  // Lets the handlers of the closed connection run while it exists.
-  connection->Close();
-  context.restart();
-  context.poll();
+  for (const std::string& address : Resolve(context, call.host)) {
+    auto connection = std::make_shared<transport::ServerConnection>(context);
+    connection->Connect(
+        {address, call.port}, call.timeout, [&](bool is_connected) {
+          connected = is_connected;
+          if (connected) {
+            connection->Send(
+                std::move(request), kMaxReplyBytes,
+                [&reply](transport::Reply it) { reply = std::move(it); });
+          }
+        });
+    context.restart();
+    context.run_until(deadline);
+    // Lets the handlers of the closed connection run while it exists.
+    connection->Close();
+    context.restart();
+    context.poll();
+    if (connected) {
+      break;
+    }
+  }
   if (!reply || reply->status != transport::ReplyStatus::kComplete) {
     throw HttpError(name + " failed: " + ProblemOf(reply, connected));
   }
--- a/tests/http/http_call_test.cc
+++ b/tests/http/http_call_test.cc
@@ -92,6 +92,22 @@
   EXPECT_EQ(reply.content_type, HttpReply().content_type);
 }
 
+// A host may be a name, as in the node lists of gbrload and the stand-in
+// server.
+TEST(HttpCallTest, ResolvesNames) {
+  std::atomic<int> requests = 0;
+  RawServer server([&](RawSocket& socket, size_t) {
+    requests += socket.ReadRequest().empty() ? 0 : 1;
+    socket.Send(OkReply("hello"));
+  });
+  HttpCall call = CallTo(server.port());
+  call.host = "localhost";
+  EXPECT_EQ(Execute(call).body, "hello");
+  EXPECT_EQ(requests, 1);
+  call.host = "no such host";
+  EXPECT_THROW(Execute(call), HttpError);
+}
+
 // A field that cannot be encoded must be reported like any other failed call.
 TEST(HttpCallTest, ThrowsOnLongField) {
   RawServer server([](RawSocket& socket, size_t) { socket.ReadRequest(); });
