organisations: let callers identify themselves by keys

A set of routes may name organisations with keys. Callers of routes that are not public then need a key; the servers receive the name of the organisation instead of it. Errors of the JSON parser no longer quote the message, which may contain keys.

--- a/libs/base/include/gooseberryrock/base/ids.h
+++ b/libs/base/include/gooseberryrock/base/ids.h
@@ -15,6 +15,8 @@
 using FailureDomain = StrongId<struct FailureDomainTag>;
 using ServiceName = StrongId<struct ServiceNameTag>;
 using ShardId = StrongId<struct ShardIdTag>;
+// A customer whose callers identify themselves by a key.
+using OrganisationName = StrongId<struct OrganisationNameTag>;
 // Chosen by the caller; unique for each request and the same when it is resent.
 using RequestId = StrongId<struct RequestIdTag>;
 // Chosen by the operator's client; the same when a command is resent.
--- a/libs/control/src/route_calls.cc
+++ b/libs/control/src/route_calls.cc
@@ -34,9 +34,8 @@
   try {
     const auto problems =
         routes::ValidateRoutes(context.codec.parse_routes(call.text));
-    if (!problems.empty()) {
-      problem =
-          "route '" + problems.front().route + "': " + problems.front().detail;
+    for (const routes::RouteProblem& it : problems) {
+      problem += (problem.empty() ? "" : "; ") + routes::Describe(it);
     }
   } catch (const routes::RouteError& e) {
     problem = e.what();
--- a/libs/entry/include/gooseberryrock/entry/caller_request.h
+++ b/libs/entry/include/gooseberryrock/entry/caller_request.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "gooseberryrock/base/time.h"
+#include "gooseberryrock/organisations/key_hash.h"
 
 namespace gooseberryrock::entry {
 
@@ -16,6 +17,8 @@
   std::string host;
   // Time until the caller gives up; without it the route's timeout applies.
   std::optional<Duration> timeout;
+  // Of the key that the caller sent; empty if it sent none or several.
+  std::optional<organisations::KeyHash> key;
 };
 
 }  // namespace gooseberryrock::entry
--- a/libs/entry/include/gooseberryrock/entry/entry_codec.h
+++ b/libs/entry/include/gooseberryrock/entry/entry_codec.h
@@ -19,10 +19,15 @@
 
 struct EntryCodec {
   CallerRequest (*parse_request)(const transport::Request& request);
-  // Sets the server id and the remaining time in the request.
+  // Removes the fields of the caller that must not reach a server: its key, and
+  // the name of an organisation.
+  void (*remove_caller_fields)(transport::Request& request);
+  // Sets the server id, the remaining time and the organisation of the caller,
+  // if there is one, in the request.
   void (*set_attempt_fields)(transport::Request& request,
                              const BackendServerId& server,
-                             Duration time_left);
+                             Duration time_left,
+                             const OrganisationName& organisation);
   // Leaves the body in `response`.
   relay::ServerReply (*parse_reply)(const transport::Response& response);
   // Returns the id of the request that the reply belongs to; empty if the reply
@@ -34,6 +39,8 @@
   transport::Response (*encode_failed)(const relay::FailedOutcome& outcome);
   // The response to a request without a matching route.
   transport::Response (*encode_no_route)();
+  // The response to a request without a known key.
+  transport::Response (*encode_no_access)();
   // Whether the request is a health check of the load balancer.
   bool (*is_ready_check)(const transport::Request& request);
 
--- a/libs/entry/src/entry_shard.cc
+++ b/libs/entry/src/entry_shard.cc
@@ -8,6 +8,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "caller_access.h"
 #include "entry_shard_state.h"
 #include "gather_messages.h"
 #include "gooseberryrock/base/clock.h"
@@ -174,6 +175,18 @@
     exchange->Respond(codec_.encode_no_route());
     return;
   }
+  const CallerAccess access = CheckAccess(*table_, *route, caller);
+  if (!access.granted) {
+    Increment(metrics_, Counter::kRequestsWithoutAccess);
+    telemetry::LogEvent(
+        LogLevel::kWarning, "request_without_access",
+        {{"request", caller.id},
+         {"route", route->name},
+         {"reason", caller.key ? "unknown_key" : "no_key"},
+         {"routes_version", std::to_string(table_->set.version)}});
+    exchange->Respond(codec_.encode_no_access());
+    return;
+  }
   if (may_park && !KnowsServers(*route)) {
     ParkRequest(std::move(exchange), caller);
     return;
@@ -193,7 +206,7 @@
         {relay::RefusalReason::kCrashesServers, crashes.retry_after}));
     return;
   }
-  Start(std::move(exchange), std::move(caller), *route,
+  Start(std::move(exchange), std::move(caller), *route, access.organisation,
         crashes.action == claims::CrashAction::kRun ? route->attempts : 1);
 }
 
@@ -226,10 +239,11 @@
 void EntryShard::Start(std::shared_ptr<transport::Exchange> exchange,
                        CallerRequest caller,
                        const routes::Route& route,
+                       const organisations::Organisation* organisation,
                        uint32_t attempts) {
   const SteadyTime received = exchange->received_at();
-  ActiveRequest& active =
-      AddRequest(std::move(exchange), std::move(caller), table_, route);
+  ActiveRequest& active = AddRequest(std::move(exchange), std::move(caller),
+                                     table_, route, organisation);
   const bool is_gathered =
       std::holds_alternative<routes::ShardedTarget>(route.target);
   if (!is_gathered || !PassOn(active, received)) {
@@ -241,7 +255,8 @@
     std::shared_ptr<transport::Exchange> exchange,
     CallerRequest caller,
     RouteTablePtr table,
-    const routes::Route& route) {
+    const routes::Route& route,
+    const organisations::Organisation* organisation) {
   const RequestNumber number = next_request_++;
   auto active = std::make_unique<ActiveRequest>();
   active->number = number;
@@ -250,8 +265,10 @@
       exchange->received_at() + caller.timeout.value_or(route.timeout);
   active->caller = std::move(caller);
   active->route = &route;
+  active->organisation = organisation;
   active->request = std::move(exchange->request());
 
+  codec_.remove_caller_fields(active->request);
   transport::RemoveConnectionFields(active->request);
   active->request.version(11);
   active->request.prepare_payload();
@@ -272,6 +289,7 @@
   active.state = relay::MakeRequest(route, PoolsOf(route), policy_, received,
                                     active.caller_deadline);
   active.state.attempts = attempts;
+  active.state.rank = RankOf(route, active.organisation);
   if (answer_by_) {
     relay::AnswerBy(active.state, *answer_by_);
   }
--- a/libs/entry/src/entry_shard.h
+++ b/libs/entry/src/entry_shard.h
@@ -35,6 +35,10 @@
 class SharedCrashHistory;
 }  // namespace gooseberryrock::claims
 
+namespace gooseberryrock::organisations {
+struct Organisation;
+}  // namespace gooseberryrock::organisations
+
 namespace gooseberryrock::telemetry {
 struct Metrics;
 }  // namespace gooseberryrock::telemetry
@@ -138,15 +142,18 @@
   // Starts, parks or refuses the request.
   void Admit(std::shared_ptr<transport::Exchange> exchange);
   // Sends the request, or each part of it, to at most `attempts` servers.
+  // `organisation` is that of the caller, or null.
   void Start(std::shared_ptr<transport::Exchange> exchange,
              CallerRequest caller,
              const routes::Route& route,
+             const organisations::Organisation* organisation,
              uint32_t attempts);
   // Creates the request, without its state.
   ActiveRequest& AddRequest(std::shared_ptr<transport::Exchange> exchange,
                             CallerRequest caller,
                             RouteTablePtr table,
-                            const routes::Route& route);
+                            const routes::Route& route,
+                            const organisations::Organisation* organisation);
   // Sends the request to the servers, each part to at most `attempts` of them,
   // or refuses it.
   void Run(ActiveRequest& active, SteadyTime received, uint32_t attempts);
--- a/libs/entry/src/entry_shard_attempts.cc
+++ b/libs/entry/src/entry_shard_attempts.cc
@@ -6,6 +6,7 @@
 #include "entry_shard_state.h"
 #include "gather_messages.h"
 #include "gooseberryrock/base/clock.h"
+#include "gooseberryrock/organisations/organisation.h"
 #include "gooseberryrock/relay/server_reply.h"
 #include "gooseberryrock/telemetry/log_event.h"
 #include "gooseberryrock/telemetry/metrics.h"
@@ -69,7 +70,7 @@
   in_flight_attempt.attempt = attempt.number;
   in_flight_attempt.pool = attempt.pool;
   in_flight_attempt.server = attempt.server;
-  in_flight_attempt.rank = active.state.route->rank;
+  in_flight_attempt.times_rank = active.state.route->rank;
   in_flight_attempt.request_id = active.caller.id;
   active.in_flight[attempt.number] = key;
   in_flight_.emplace(key, std::move(in_flight_attempt));
@@ -88,8 +89,8 @@
          {"elapsed_ms", Milliseconds(BootTime() - active.state.received)}});
   }
   relay::PoolServer* server = relay::FindServer(*attempt.pool, attempt.server);
-  if (ConnectionPtr connection = connections_.Acquire(
-          *attempt.pool, *server, active.state.route->rank, key)) {
+  if (ConnectionPtr connection = connections_.Acquire(*attempt.pool, *server,
+                                                      active.state.rank, key)) {
     Transmit(key, connection);
   }
 }
@@ -110,15 +111,19 @@
     ++server->stats.outstanding;
   }
   transport::Request request = active.request;
+  const OrganisationName organisation = active.organisation != nullptr
+                                            ? active.organisation->name
+                                            : OrganisationName();
   codec_.set_attempt_fields(request, in_flight_attempt.server,
-                            active.state.answer_deadline - now);
+                            active.state.answer_deadline - now, organisation);
   transport::ServerConnection::InterimHandler on_interim;
   if (IsForward(in_flight_attempt)) {
     const relay::RequestPart& part =
         relay::PartOf(active.state, in_flight_attempt.attempt);
-    SetGatherCall(request,
-                  {now - active.state.received, active.table->set.version,
-                   route.attempts - part.unacknowledged, part.group});
+    SetGatherCall(
+        request,
+        {now - active.state.received, active.table->set.version,
+         route.attempts - part.unacknowledged, part.group, organisation});
     on_interim = [this, key](const transport::Response& header) {
       std::lock_guard lock(mutex_);
       OnInterim(key, header);
@@ -260,7 +265,7 @@
   }
   if (decoded.kind == relay::ReplyKind::kSuccess) {
     relay::RecordReplyTime(*in_flight_attempt.pool, policy_,
-                           in_flight_attempt.rank,
+                           in_flight_attempt.times_rank,
                            now - in_flight_attempt.sent_at, now);
   }
   connections_.Release(
--- a/libs/entry/src/entry_shard_gather.cc
+++ b/libs/entry/src/entry_shard_gather.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <variant>
 
+#include "caller_access.h"
 #include "entry_shard.h"
 #include "entry_shard_state.h"
 #include "gather_messages.h"
@@ -84,6 +85,7 @@
   }
   active.state = relay::MakeForward(*active.route, groups, gather_pool_,
                                     policy_, received, active.caller_deadline);
+  active.state.rank = RankOf(*active.route, active.organisation);
   if (answer_by_) {
     relay::AnswerBy(active.state, *answer_by_);
   }
@@ -170,6 +172,12 @@
     exchange->Respond(EncodeGatherRefusal(GatherRefusal::kTryAnotherNode));
     return;
   }
+  const organisations::Organisation* organisation =
+      FindOrganisation(*table, call->organisation);
+  if (!call->organisation.empty() && organisation == nullptr) {
+    exchange->Respond(EncodeGatherRefusal(GatherRefusal::kTryAnotherNode));
+    return;
+  }
   if (IsDiscovering(now) && !KnowsServers(*route)) {
     exchange->Respond(EncodeGatherRefusal(GatherRefusal::kStopping));
     return;
@@ -191,10 +199,11 @@
   const SteadyTime received =
       exchange->received_at() - call->elapsed - kHopTime;
   ActiveRequest& active = AddRequest(std::move(exchange), std::move(caller),
-                                     std::move(table), *route);
+                                     std::move(table), *route, organisation);
   active.for_other_node = true;
   active.state = relay::MakeGatherForOther(*route, pools, policy_, attempts,
                                            received, active.caller_deadline);
+  active.state.rank = RankOf(*route, organisation);
   ApplyEffects(active.number,
                relay::StartRequest(active.state, Context(), BootTime()));
 }
--- a/libs/entry/src/entry_shard_state.h
+++ b/libs/entry/src/entry_shard_state.h
@@ -13,6 +13,10 @@
 #include "gooseberryrock/routes/route.h"
 #include "gooseberryrock/transport/memory_reservation.h"
 
+namespace gooseberryrock::organisations {
+struct Organisation;
+}  // namespace gooseberryrock::organisations
+
 namespace gooseberryrock::entry {
 
 // The maintenance runs every 200 ms. After a longer gap than this the process
@@ -29,6 +33,8 @@
   SteadyTime caller_deadline;
   // The route of the caller's request, owned by `table`.
   const routes::Route* route = nullptr;
+  // Of the caller, owned by `table`; null if the route needs no key.
+  const organisations::Organisation* organisation = nullptr;
   // Another entry node passed the request on.
   bool for_other_node = false;
   // The request to forward, without the fields specific to an attempt.
@@ -49,7 +55,8 @@
   relay::AttemptNumber attempt = 0;
   relay::ServicePool* pool = nullptr;
   BackendServerId server;
-  Rank rank = Rank::kNormal;
+  // The rank by which reply times are recorded.
+  Rank times_rank = Rank::kNormal;
   Duration typical = Duration::zero();
   // Compared with the request id in the reply.
   std::string request_id;
--- a/libs/entry/src/gather_messages.cc
+++ b/libs/entry/src/gather_messages.cc
@@ -24,6 +24,7 @@
 constexpr char kElapsedHeader[] = "Gbr-Gather-Elapsed-Us";
 constexpr char kRoutesVersionHeader[] = "Gbr-Gather-Routes-Version";
 constexpr char kAttemptsHeader[] = "Gbr-Gather-Attempts";
+constexpr char kOrganisationHeader[] = "Gbr-Gather-Organisation";
 // Ranges such as "0-3,7,9-12".
 constexpr char kShardsHeader[] = "Gbr-Gather-Shards";
 constexpr char kRefusalHeader[] = "Gbr-Gather-Refusal";
@@ -147,6 +148,10 @@
   request.set(kRoutesVersionHeader, std::to_string(call.routes_version));
   request.set(kAttemptsHeader, std::to_string(call.attempts));
   request.set(kShardsHeader, EncodeRanges(call.shards));
+  request.erase(kOrganisationHeader);
+  if (!call.organisation.empty()) {
+    request.set(kOrganisationHeader, call.organisation.value);
+  }
 }
 
 std::optional<GatherCall> TakeGatherCall(transport::Request& request) {
@@ -156,15 +161,19 @@
   auto shards = request.count(kShardsHeader) == 1
                     ? ReadRanges(ToStringView(request[kShardsHeader]))
                     : std::nullopt;
-  for (const char* it :
-       {kElapsedHeader, kRoutesVersionHeader, kAttemptsHeader, kShardsHeader}) {
+  const bool has_one_organisation = request.count(kOrganisationHeader) <= 1;
+  OrganisationName organisation = {request[kOrganisationHeader].to_string()};
+  for (const char* it : {kElapsedHeader, kRoutesVersionHeader, kAttemptsHeader,
+                         kShardsHeader, kOrganisationHeader}) {
     request.erase(it);
   }
-  if (!elapsed || !version || !attempts || *attempts == 0 || !shards) {
+  if (!elapsed || !version || !attempts || *attempts == 0 || !shards ||
+      !has_one_organisation) {
     return std::nullopt;
   }
   return GatherCall{std::chrono::microseconds(*elapsed), *version,
-                    static_cast<uint32_t>(*attempts), std::move(*shards)};
+                    static_cast<uint32_t>(*attempts), std::move(*shards),
+                    std::move(organisation)};
 }
 
 transport::Response EncodeGatherRefusal(GatherRefusal refusal) {
--- a/libs/entry/src/gather_messages.h
+++ b/libs/entry/src/gather_messages.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "gooseberryrock/base/ids.h"
 #include "gooseberryrock/base/time.h"
 #include "gooseberryrock/relay/outcome.h"
 #include "gooseberryrock/relay/server_reply.h"
@@ -28,6 +29,9 @@
   uint32_t attempts = 1;
   // Indexes into the shards of the route, ascending.
   std::vector<uint32_t> shards;
+  // Of the caller, whose key stays at the first node; empty if the route needs
+  // no key.
+  OrganisationName organisation;
 };
 
 // How a gathering node ended a request without an answer.
--- a/libs/entry/src/outcome_log.cc
+++ b/libs/entry/src/outcome_log.cc
@@ -133,8 +133,8 @@
                   const relay::Outcome& outcome) {
   const Duration latency = BootTime() - state.received;
   telemetry::AnswerSample sample{
-      state.route->name,          state.route->rank, host,
-      StatusName(state, outcome), latency,           std::nullopt};
+      state.route->name,          state.rank, host,
+      StatusName(state, outcome), latency,    std::nullopt};
   if (const auto* gathered = std::get_if<relay::GatheredOutcome>(&outcome)) {
     const auto answered = static_cast<double>(gathered->digests.size());
     sample.coverage = answered / (answered + gathered->missing_shards);
--- a/libs/relay/include/gooseberryrock/relay/choose_server.h
+++ b/libs/relay/include/gooseberryrock/relay/choose_server.h
@@ -19,7 +19,10 @@
 struct ServicePool;
 
 struct Selection {
+  // Urgency of the request.
   Rank rank = Rank::kNormal;
+  // The rank by which reply times are recorded.
+  Rank times_rank = Rank::kNormal;
   Duration target_latency = Duration::zero();
   // Servers that already received the request.
   std::span<const BackendServerId> excluded;
--- a/libs/relay/include/gooseberryrock/relay/request_state.h
+++ b/libs/relay/include/gooseberryrock/relay/request_state.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "gooseberryrock/base/ids.h"
+#include "gooseberryrock/base/rank.h"
 #include "gooseberryrock/base/time.h"
 #include "gooseberryrock/relay/outcome.h"
 #include "gooseberryrock/routes/route.h"
@@ -69,6 +70,10 @@
 struct RequestState {
   // Must outlive the state.
   const routes::Route* route = nullptr;
+  // Urgency of the request: that of the route, or of the caller's organisation.
+  // Reply times are recorded by the rank of the route, which tells apart the
+  // kinds of work.
+  Rank rank = Rank::kNormal;
   SteadyTime received;
   // From this time on, a gathered answer is sent as soon as it has the minimum
   // coverage.
--- a/libs/relay/src/choose_server.cc
+++ b/libs/relay/src/choose_server.cc
@@ -60,8 +60,8 @@
                       const RelayPolicy& policy,
                       const Selection& selection,
                       SteadyTime now) {
-  const Duration unqueued =
-      UnqueuedTime(pool, policy, selection.rank, selection.target_latency);
+  const Duration unqueued = UnqueuedTime(pool, policy, selection.times_rank,
+                                         selection.target_latency);
   const double slots = Slots(server);
   const double waiting =
       std::max(0.0, TotalLoad(server, policy, now) + 1 - slots) / slots;
@@ -88,7 +88,7 @@
                     const Selection& selection,
                     SteadyTime now) {
   const Duration typical =
-      TypicalTime(pool, policy, selection.rank, selection.target_latency);
+      TypicalTime(pool, policy, selection.times_rank, selection.target_latency);
   Duration cost = ExpectedTime(pool, server, policy, selection, now);
   cost += Scale(typical, policy.load_balance_factor *
                              TotalLoad(server, policy, now) / Slots(server));
--- a/libs/relay/src/refusal.cc
+++ b/libs/relay/src/refusal.cc
@@ -26,7 +26,7 @@
 // left out.
 Duration RetryDelay(const RequestState& state, SteadyTime now) {
   Duration wait = Duration::zero();
-  const Rank rank = state.route->rank;
+  const Rank rank = state.rank;
   for (const RequestPart& part : state.parts) {
     if (!IsUnavailable(*part.pool, rank, now)) {
       continue;
@@ -47,7 +47,7 @@
 RefusalReason RefusalReasonOf(const RequestState& state,
                               RefusalReason reason,
                               SteadyTime now) {
-  const Rank rank = state.route->rank;
+  const Rank rank = state.rank;
   for (const RequestPart& it : state.parts) {
     if (!IsUnavailable(*it.pool, rank, now)) {
       continue;
--- a/libs/relay/src/request_state.cc
+++ b/libs/relay/src/request_state.cc
@@ -18,6 +18,7 @@
                          SteadyTime caller_deadline) {
   RequestState state;
   state.route = &route;
+  state.rank = route.rank;
   state.received = received;
   state.attempts = route.attempts;
   state.partial_answer_at =
--- a/libs/relay/src/shard_admission.cc
+++ b/libs/relay/src/shard_admission.cc
@@ -48,7 +48,8 @@
 
 Selection SelectionOf(const RequestState& state) {
   Selection selection;
-  selection.rank = state.route->rank;
+  selection.rank = state.rank;
+  selection.times_rank = state.route->rank;
   selection.target_latency = state.route->target_latency;
   return selection;
 }
@@ -56,11 +57,11 @@
 void SkipShards(RequestState& state, RelayContext context, SteadyTime now) {
   const Duration max_expected =
       Scale(state.route->target_latency,
-            context.policy.max_expected_share[RankIndex(state.route->rank)]);
+            context.policy.max_expected_share[RankIndex(state.rank)]);
   const Selection selection = SelectionOf(state);
   std::vector<std::pair<Duration, RequestPart*>> busy;
   for (RequestPart& it : state.parts) {
-    if (IsUnavailable(*it.pool, state.route->rank, now) &&
+    if (IsUnavailable(*it.pool, state.rank, now) &&
         MaySkipUnavailable(state, it)) {
       SkipPart(state, it);
       continue;
--- a/libs/routes/include/gooseberryrock/routes/route.h
+++ b/libs/routes/include/gooseberryrock/routes/route.h
@@ -59,6 +59,8 @@
   // A request that is not idempotent is executed at most once.
   bool idempotent = false;
   Rank rank = Rank::kNormal;
+  // Callers need no key, even if the set of routes names organisations.
+  bool is_public = false;
   // Maximum number of servers that a request may be sent to, per shard.
   uint32_t attempts = 1;
   // Maximum time until the request is answered.
--- a/libs/routes/include/gooseberryrock/routes/route_error.h
+++ b/libs/routes/include/gooseberryrock/routes/route_error.h
@@ -13,8 +13,7 @@
 class RouteError : public Error {
  public:
   explicit RouteError(RouteProblem problem)
-      : Error("route '" + problem.route + "': " + problem.detail),
-        problem_(std::move(problem)) {}
+      : Error(Describe(problem)), problem_(std::move(problem)) {}
 
   const RouteProblem& problem() const { return problem_; }
 
--- a/libs/routes/include/gooseberryrock/routes/route_problem.h
+++ b/libs/routes/include/gooseberryrock/routes/route_problem.h
@@ -17,6 +17,7 @@
   kNoAttempts,
   kInvalidPrefix,
   kInvalidCoverage,
+  kInvalidOrganisation,
 };
 
 struct RouteProblem {
@@ -26,6 +27,9 @@
   std::string detail;
 };
 
+// Returns the problem as a text for operators.
+std::string Describe(const RouteProblem& problem);
+
 }  // namespace gooseberryrock::routes
 
 #endif  // GOOSEBERRYROCK_ROUTES_ROUTE_PROBLEM_H_
--- a/libs/routes/include/gooseberryrock/routes/route_set.h
+++ b/libs/routes/include/gooseberryrock/routes/route_set.h
@@ -11,6 +11,7 @@
 
 #include "gooseberryrock/base/ids.h"
 #include "gooseberryrock/base/time.h"
+#include "gooseberryrock/organisations/organisation.h"
 #include "gooseberryrock/routes/route.h"
 
 namespace gooseberryrock::routes {
@@ -40,6 +41,8 @@
   std::vector<Route> routes;
   std::map<ServiceName, RoutedService> services;
   CallerLimits limits;
+  // If there are any, callers of routes that are not public need a key.
+  std::vector<organisations::Organisation> organisations;
 
   bool operator==(const RouteSet&) const = default;
 };
--- a/libs/routes/include/gooseberryrock/routes/route_table.h
+++ b/libs/routes/include/gooseberryrock/routes/route_table.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <unordered_map>
 
+#include "gooseberryrock/organisations/organisation_table.h"
 #include "gooseberryrock/routes/route_set.h"
 
 namespace gooseberryrock::routes {
@@ -31,6 +32,8 @@
   // Host -> its path prefixes.
   std::unordered_map<std::string, PrefixIndex, StringHash, std::equal_to<>>
       hosts;
+  // Of `set.organisations`.
+  organisations::OrganisationTable organisations;
 };
 
 RouteTable BuildRouteTable(RouteSet set);
--- a/libs/routes/src/route_table.cc
+++ b/libs/routes/src/route_table.cc
@@ -13,6 +13,8 @@
     const Route& route = table.set.routes[i];
     table.hosts[route.host][route.path_prefix] = i;
   }
+  table.organisations =
+      organisations::BuildOrganisationTable(table.set.organisations);
   return table;
 }
 
--- a/libs/routes/src/validate_routes.cc
+++ b/libs/routes/src/validate_routes.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <utility>
 
+#include "gooseberryrock/organisations/validate_organisations.h"
 #include "gooseberryrock/routes/route_set.h"
 
 namespace gooseberryrock::routes {
@@ -84,6 +85,12 @@
   for (const Route& route : set.routes) {
     validator.CheckRoute(route);
   }
+  for (const organisations::OrganisationProblem& it :
+       organisations::ValidateOrganisations(set.organisations)) {
+    validator.problems.push_back(
+        {RouteProblemKind::kInvalidOrganisation, "",
+         "organisation '" + it.organisation.value + "': " + it.detail});
+  }
   return std::move(validator.problems);
 }
 
--- a/libs/telemetry/include/gooseberryrock/telemetry/metric_names.h
+++ b/libs/telemetry/include/gooseberryrock/telemetry/metric_names.h
@@ -27,6 +27,7 @@
   kCommandsAccepted,
   kCommandsRefused,
   kRequestsWithoutRoute,
+  kRequestsWithoutAccess,
   kCallersGone,
   kForeignReplies,
   kServerConnectsFailed,
--- a/libs/telemetry/src/metric_names.cc
+++ b/libs/telemetry/src/metric_names.cc
@@ -37,6 +37,8 @@
      "Operator commands that were invalid, in conflict or not run."},
     {"gbr_requests_without_route_total",
      "Requests that no route in force leads anywhere."},
+    {"gbr_requests_without_access_total",
+     "Requests refused because their caller sent no key of an organisation."},
     {"gbr_callers_gone_total",
      "Requests whose caller closed its connection before the answer."},
     {"gbr_foreign_replies_total",
--- a/tests/entry/gather_messages_test.cc
+++ b/tests/entry/gather_messages_test.cc
@@ -25,7 +25,7 @@
 // and against shards that change on the way.
 TEST(GatherMessagesTest, CallIsReadAndItsFieldsAreRemoved) {
   const GatherCall call = {
-      microseconds(1500), 1ULL << 63U, 2, {0, 1, 2, 5, 7, 8}};
+      microseconds(1500), 1ULL << 63U, 2, {0, 1, 2, 5, 7, 8}, {"org"}};
   transport::Request request = MakeCall(call);
   const auto read = TakeGatherCall(request);
   ASSERT_TRUE(read);
@@ -33,9 +33,21 @@
   EXPECT_EQ(read->routes_version, call.routes_version);
   EXPECT_EQ(read->attempts, 2U);
   EXPECT_EQ(read->shards, call.shards);
+  EXPECT_EQ(read->organisation, call.organisation);
   EXPECT_EQ(std::distance(request.begin(), request.end()), 1);
 }
 
+// Guards against a caller without an organisation that names one itself in the
+// field between nodes.
+TEST(GatherMessagesTest, OrganisationOfCallerIsNotTakenOver) {
+  transport::Request request(boost::beast::http::verb::get, "/a/", 11);
+  request.set("Gbr-Gather-Organisation", "forged");
+  SetGatherCall(request, {microseconds(1), 1, 1, {0}, {}});
+  const auto read = TakeGatherCall(request);
+  ASSERT_TRUE(read);
+  EXPECT_TRUE(read->organisation.empty());
+}
+
 // Guards against memory for shards that no route has, and against a call that
 // is read with a part of its fields.
 TEST(GatherMessagesTest, MalformedCallsAreRefused) {
@@ -56,13 +68,13 @@
            {"Gbr-Gather-Elapsed-Us", "-5"},
            {"Gbr-Gather-Elapsed-Us", "99999999999999999999"},
            {"Gbr-Gather-Routes-Version", ""}}) {
-    transport::Request request = MakeCall({microseconds(1), 1, 1, {0}});
+    transport::Request request = MakeCall({microseconds(1), 1, 1, {0}, {}});
     request.set(field, value);
     EXPECT_FALSE(TakeGatherCall(request)) << field << ": " << value;
-    request = MakeCall({microseconds(1), 1, 1, {0}});
+    request = MakeCall({microseconds(1), 1, 1, {0}, {}});
     request.insert(field, value);
     EXPECT_FALSE(TakeGatherCall(request)) << "two fields " << field;
-    request = MakeCall({microseconds(1), 1, 1, {0}});
+    request = MakeCall({microseconds(1), 1, 1, {0}, {}});
     request.erase(field);
     EXPECT_FALSE(TakeGatherCall(request)) << "without " << field;
   }
@@ -130,7 +142,7 @@
     transport::Response interim;
     interim.set("Gbr-Gather-Progress", bytes);
     ReadGatherProgress(interim);
-    transport::Request request = MakeCall({microseconds(1), 1, 1, {0}});
+    transport::Request request = MakeCall({microseconds(1), 1, 1, {0}, {}});
     request.set("Gbr-Gather-Shards", bytes);
     TakeGatherCall(request);
   }
--- a/tests/platform/control_codec_test.cc
+++ b/tests/platform/control_codec_test.cc
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "gooseberryrock/control/control_codec.h"
+#include "gooseberryrock/organisations/organisation.h"
 #include "gooseberryrock/platform/control_codec.h"
 #include "gooseberryrock/routes/route_error.h"
 #include "gooseberryrock/routes/validate_routes.h"
@@ -252,5 +253,77 @@
   }
 }
 
+constexpr char kOrganisations[] =
+    R"([{"name":"a","api_keys":["secret-1","secret-2"],"priority":7,)"
+    R"("rate_per_s":42,"burst":3.5},{"name":"b","api_keys":[]}])";
+
+std::string WithOrganisations(const std::string& organisations) {
+  std::string text = kConfig;
+  text.insert(text.rfind('}'), ",\"tenants\":" + organisations);
+  return text;
+}
+
+// Guards against organisations that are read incompletely, and a public route
+// that needs a key.
+TEST(ControlCodecTest, ReadsOrganisations) {
+  std::string text = WithOrganisations(kOrganisations);
+  const std::string priority = "\"priority\":0";
+  text.insert(text.find(priority), "\"public\":true,");
+  const routes::RouteSet set = GetControlCodec().parse_routes(text);
+  EXPECT_TRUE(set.routes[0].is_public);
+  EXPECT_FALSE(set.routes[1].is_public);
+  ASSERT_EQ(set.organisations.size(), 2U);
+  const organisations::Organisation& first = set.organisations[0];
+  EXPECT_EQ(first.name.value, "a");
+  EXPECT_EQ(first.keys, (std::vector{organisations::HashKey("secret-1"),
+                                     organisations::HashKey("secret-2")}));
+  EXPECT_EQ(first.rank, Rank::kBackground);
+  EXPECT_EQ(first.allotment, (organisations::Allotment{42, 3.5}));
+  EXPECT_FALSE(set.organisations[1].rank);
+  EXPECT_FALSE(set.organisations[1].allotment.IsLimited());
+}
+
+// Guards against organisations of a wrong type that are accepted, and against
+// an error that quotes a key: errors are logged and returned to the operator.
+TEST(ControlCodecTest, RejectsMalformedOrganisationsWithoutQuotingKeys) {
+  for (const char* it :
+       {"null", R"({"a":["secret"]})", R"([{"name":"a"}])",
+        R"([{"name":1,"api_keys":["secret"]}])",
+        R"([{"name":"a","api_keys":"secret"}])",
+        R"([{"name":"a","api_keys":["secret",1]}])",
+        R"([{"name":"a","api_keys":["secret"],"priority":-1}])",
+        R"([{"name":"a","api_keys":["secret"],"rate_per_s":"1"}])",
+        R"([{"name":"a","api_keys":["secret"],"burst":null}])",
+        R"([{"name":"a","api_keys":["secret)", "[\"secret\\x\"]"}) {
+    try {
+      GetControlCodec().parse_routes(WithOrganisations(it));
+      ADD_FAILURE() << it;
+    } catch (const routes::RouteError& e) {
+      EXPECT_EQ(std::string(e.what()).find("secret"), std::string::npos)
+          << e.what();
+    }
+    const auto call = DecodeCall(http::verb::post, "/v1/config/replace",
+                                 WithOrganisations(it));
+    if (const auto* malformed = std::get_if<control::MalformedCall>(&call)) {
+      EXPECT_EQ(malformed->error.find("secret"), std::string::npos)
+          << malformed->error;
+    }
+  }
+}
+
+// Guards against an operator who corrects one problem after the other.
+TEST(ControlCodecTest, NamesAllMalformedOrganisations) {
+  try {
+    GetControlCodec().parse_routes(WithOrganisations(
+        R"([{"name":1,"api_keys":[]},{"name":"b"},{"name":"c","api_keys":[]}])"));
+    ADD_FAILURE();
+  } catch (const routes::RouteError& e) {
+    const std::string error = e.what();
+    EXPECT_NE(error.find("organisation 1:"), std::string::npos) << error;
+    EXPECT_NE(error.find("organisation 2:"), std::string::npos) << error;
+    EXPECT_EQ(error.find("organisation 3:"), std::string::npos) << error;
+  }
+}
+
 }  // namespace
 }  // namespace gooseberryrock::platform
--- a/tests/platform/entry_codec_test.cc
+++ b/tests/platform/entry_codec_test.cc
@@ -4,10 +4,12 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <string>
 #include <vector>
 
 #include "gooseberryrock/entry/entry_codec.h"
+#include "gooseberryrock/organisations/key_hash.h"
 #include "gooseberryrock/platform/entry_codec.h"
 
 namespace gooseberryrock::platform {
@@ -44,11 +46,32 @@
   Request request(http::verb::get, "/a/", 11);
   request.set("X-Deadline-Ms", "1200");
   request.set("X-Target-Instance", "of the caller");
-  Codec().set_attempt_fields(request, {"i-1"}, milliseconds(800));
+  Codec().set_attempt_fields(request, {"i-1"}, milliseconds(800), {});
   EXPECT_EQ(request["X-Deadline-Ms"], "800");
   EXPECT_EQ(request["X-Target-Instance"], "i-1");
-  Codec().set_attempt_fields(request, {"i-1"}, milliseconds(-3));
+  Codec().set_attempt_fields(request, {"i-1"}, milliseconds(-3), {});
   EXPECT_EQ(request["X-Deadline-Ms"], "1");
+  EXPECT_EQ(request.count("X-Tenant"), 0U);
+}
+
+// Guards against a server that receives the key of a caller, or the name of an
+// organisation that the caller chose.
+TEST(EntryCodecTest, ReplacesKeyByOrganisation) {
+  Request request(http::verb::get, "/a/", 11);
+  request.insert("X-Key", "secret");
+  request.insert("X-Tenant", "forged");
+  request.insert("X-Tenant", "forged as well");
+  EXPECT_EQ(Codec().parse_request(request).key,
+            organisations::HashKey("secret"));
+  Codec().remove_caller_fields(request);
+  EXPECT_EQ(std::distance(request.begin(), request.end()), 0);
+  EXPECT_FALSE(Codec().parse_request(request).key);
+  Codec().set_attempt_fields(request, {"i-1"}, milliseconds(5), {"org"});
+  EXPECT_EQ(request["X-Tenant"], "org");
+  EXPECT_EQ(request.count("X-Tenant"), 1U);
+  request.insert("X-Key", "one");
+  request.insert("X-Key", "two");
+  EXPECT_FALSE(Codec().parse_request(request).key);
 }
 
 relay::ServerReply DecodeReply(http::status status,
--- a/tests/routes/validate_routes_test.cc
+++ b/tests/routes/validate_routes_test.cc
@@ -77,5 +77,22 @@
   EXPECT_EQ(Kinds(set), Problems{RouteProblemKind::kInvalidCoverage});
 }
 
+// Guards against a set that is accepted with invalid organisations, and against
+// a problem that names no organisation.
+TEST(ValidateRoutesTest, ReportsProblemsOfOrganisations) {
+  RouteSet set = ValidSet();
+  set.organisations.resize(2);
+  set.organisations[0].name = {"a"};
+  set.organisations[0].keys = {organisations::HashKey("key")};
+  set.organisations[1].name = {"b"};
+  EXPECT_EQ(Kinds(set), Problems());
+  set.organisations[1].keys = set.organisations[0].keys;
+  const std::vector<RouteProblem> problems = ValidateRoutes(set);
+  ASSERT_EQ(problems.size(), 1U);
+  EXPECT_EQ(problems[0].kind, RouteProblemKind::kInvalidOrganisation);
+  EXPECT_EQ(Describe(problems[0]),
+            "organisation 'b': organisation 'a' has one of its keys");
+}
+
 }  // namespace
 }  // namespace gooseberryrock::routes
