entry, control: serve keys only with confirmed routes

A node that was cut off or suspended served keys that had been taken away. Control VMs now ask the leader which version of the routes is the newest, and an entry node serves callers with keys only while that answer is younger than 0.9 of key_revocation_time_ms.

--- a/apps/node/tier_commands.cc
+++ b/apps/node/tier_commands.cc
@@ -170,6 +170,7 @@
   entry.poll_reply_timeout = intervals.poll_reply_timeout;
   entry.route_adoption_delay = intervals.route_adoption_delay;
   entry.remembered_server_lifetime = intervals.remembered_server_lifetime;
+  entry.route_confirmation_lifetime = intervals.route_confirmation_lifetime;
   entry.peer_heartbeat_interval = intervals.peer_heartbeat_interval;
   entry.peer_heartbeat_timeout = intervals.peer_heartbeat_timeout;
   entry::EntryNode node(entry, platform::GetEntryCodec());
@@ -197,6 +198,7 @@
   const settings::TierIntervals intervals =
       settings::MakeTierIntervals(settings);
   control.remembered_servers_time = intervals.remembered_servers_time;
+  control.route_confirmation_interval = intervals.route_confirmation_interval;
   control.peer_heartbeat_interval = intervals.peer_heartbeat_interval;
   control.peer_heartbeat_timeout = intervals.peer_heartbeat_timeout;
   control.drain_time = intervals.control_drain_time;
--- a/libs/control/include/gooseberryrock/control/control_settings.h
+++ b/libs/control/include/gooseberryrock/control/control_settings.h
@@ -40,6 +40,9 @@
   // Time after a start for which the servers of the stored list are named to
   // entry nodes.
   Duration remembered_servers_time = std::chrono::milliseconds(1200);
+  // Interval at which the leader is asked for the newest version of the routes;
+  // zero if entry nodes do not depend on it.
+  Duration route_confirmation_interval = Duration::zero();
   Duration peer_heartbeat_interval = std::chrono::milliseconds(500);
   Duration peer_heartbeat_timeout = std::chrono::milliseconds(1500);
   // Time for calls in progress, and for the handover of the vote, when the VM
--- a/libs/control/src/control_client.cc
+++ b/libs/control/src/control_client.cc
@@ -234,7 +234,8 @@
     log_->ChangeMembership(
         ToChange(request.membership()),
         [finish](const SubmitResult& it) { finish(MembershipReply(it)); });
-  } else if (request.has_read() || request.has_read_routes()) {
+  } else if (request.has_read() || request.has_read_routes() ||
+             request.has_confirm_routes()) {
     log_->Read([this, request] { return read_(request); },
                [finish](const SubmitResult& it) { finish(EntryReply(it)); });
   } else {
--- a/libs/control/src/control_node.cc
+++ b/libs/control/src/control_node.cc
@@ -47,6 +47,7 @@
 #include "peer.pb.h"
 #include "registry.h"
 #include "route_calls.h"
+#include "route_confirmer.h"
 
 namespace gooseberryrock::control {
 
@@ -152,9 +153,10 @@
           socket->Reply(to, peer::FrameKind::kForwardReply,
                         it.SerializeAsString());
         },
-        [this](const proto::ForwardRequest& /*call*/) {
-          return StoredRoutesReply();
+        [this](const proto::ForwardRequest& call) {
+          return StoredRoutesReply(call);
         });
+    route_confirmer.emplace(*client, settings.route_confirmation_interval);
     {
       std::lock_guard lock(frame_mutex);
       started = true;
@@ -179,6 +181,7 @@
     }
     changed.notify_all();
     maintenance.join();
+    route_confirmer.reset();
     io.Stop();
     workers.reset();
     {
@@ -289,8 +292,12 @@
   // The replicated log.
 
   // On the log's thread, which owns `state`.
-  std::string StoredRoutesReply() const {
+  std::string StoredRoutesReply(const proto::ForwardRequest& call) const {
     proto::ForwardReply reply;
+    if (call.has_confirm_routes()) {
+      reply.mutable_newest_routes()->set_version(state.routes.version);
+      return reply.SerializeAsString();
+    }
     reply.mutable_routes()->set_version(state.routes.version);
     reply.mutable_routes()->set_compressed_text(state.routes.compressed_text);
     return reply.SerializeAsString();
@@ -371,6 +378,7 @@
                       now - *status.contact_at < kContactTime);
     registry.AnswerPoll(poll, reply, now);
     ExchangeCrashes(poll, reply, now);
+    route_confirmer->AnswerPoll(poll, reply, now);
     for (const NodeId& it : peers.Vms()) {
       reply.add_control_vms(it.value);
     }
@@ -574,6 +582,7 @@
   std::optional<ReplicatedLog> log;
   std::optional<MemberMaintenance> members;
   std::optional<ControlClient> client;
+  std::optional<RouteConfirmer> route_confirmer;
   std::optional<transport::WorkerPool> workers;
   std::optional<transport::WebServer> server;
   std::optional<monitoring::MetricsServer> metrics_server;
--- a/libs/entry/include/gooseberryrock/entry/entry_settings.h
+++ b/libs/entry/include/gooseberryrock/entry/entry_settings.h
@@ -45,6 +45,9 @@
   // Time after which new routes are followed while some nodes gather for all:
   // those know them as well by then.
   Duration route_adoption_delay = std::chrono::milliseconds(625);
+  // Callers with keys are served only while the routes were known to be the
+  // newest ones at most this long ago; zero means always.
+  Duration route_confirmation_lifetime = Duration::zero();
   // How long servers are used that a control VM knew before its restart and
   // that have not announced themselves.
   Duration remembered_server_lifetime = std::chrono::milliseconds(2500);
--- a/libs/entry/src/caller_access.cc
+++ b/libs/entry/src/caller_access.cc
@@ -9,11 +9,15 @@
 
 namespace gooseberryrock::entry {
 
+bool NeedsKey(const routes::RouteTable& table, const routes::Route& route) {
+  return !table.set.organisations.empty() && !route.is_public;
+}
+
 CallerAccess CheckAccess(const routes::RouteTable& table,
                          const routes::Route& route,
                          const CallerRequest& caller) {
   CallerAccess access;
-  if (table.set.organisations.empty() || route.is_public) {
+  if (!NeedsKey(table, route)) {
     access.granted = true;
     return access;
   }
--- a/libs/entry/src/caller_access.h
+++ b/libs/entry/src/caller_access.h
@@ -26,6 +26,9 @@
   const organisations::Organisation* organisation = nullptr;
 };
 
+// Whether callers of the route need a key.
+bool NeedsKey(const routes::RouteTable& table, const routes::Route& route);
+
 CallerAccess CheckAccess(const routes::RouteTable& table,
                          const routes::Route& route,
                          const CallerRequest& caller);
--- a/libs/entry/src/control_poller.cc
+++ b/libs/entry/src/control_poller.cc
@@ -66,6 +66,22 @@
   uint64_t crashes_received = 0;
 };
 
+uint64_t ToMicroseconds(SteadyTime time) {
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          time.time_since_epoch())
+          .count());
+}
+
+routes::RouteConfirmation ReadConfirmation(const proto::EntryPollReply& reply) {
+  // Bounds what a faulty sender can do to the arithmetic.
+  constexpr uint64_t kMaxAgeMs = 3'600'000;
+  const SteadyTime sent_at{std::chrono::microseconds(reply.poll_sent_us())};
+  const std::chrono::milliseconds age(
+      std::min(reply.confirmation_age_ms(), kMaxAgeMs));
+  return {reply.confirmed_version(), routes::ConfirmedAt(sent_at, age)};
+}
+
 peer::PeerSocketOptions SocketOptions(const EntrySettings& settings) {
   peer::PeerSocketOptions options;
   options.cluster = settings.cluster;
@@ -197,6 +213,7 @@
     poll.set_routes_version(routes_version);
     poll.set_entry_nodes_digest(entry_nodes_digest);
     poll.set_without_directory(!with_directory);
+    poll.set_sent_us(ToMicroseconds(now));
     if (with_directory) {
       poll.set_directory_incarnation(vm.incarnation);
       poll.set_directory_count(vm.directory_count);
@@ -273,6 +290,9 @@
     if (reply.has_routes()) {
       OnRoutes(reply.routes());
     }
+    if (reply.confirmed_version() > 0) {
+      events.on_confirmation(ReadConfirmation(reply));
+    }
     crash_history.MergeNotices(proto::ReadCrashNotices(reply.crashes()),
                                BootTime());
     std::vector<ServerChange> changes;
--- a/libs/entry/src/control_poller.h
+++ b/libs/entry/src/control_poller.h
@@ -13,6 +13,7 @@
 #include "gooseberryrock/entry/entry_settings.h"
 #include "gooseberryrock/entry/server_change.h"
 #include "gooseberryrock/peer/peer_stats.h"
+#include "gooseberryrock/routes/route_confirmation.h"
 #include "gooseberryrock/routes/route_table.h"
 
 namespace gooseberryrock::claims {
@@ -25,6 +26,7 @@
   std::function<void(std::shared_ptr<const routes::RouteTable>)> on_routes;
   std::function<void(std::vector<ServerChange>)> on_servers;
   std::function<void(ConnectionPlan)> on_plan;
+  std::function<void(routes::RouteConfirmation)> on_confirmation;
 };
 
 // The node's view of the control plane.
--- a/libs/entry/src/entry_node.cc
+++ b/libs/entry/src/entry_node.cc
@@ -87,6 +87,7 @@
           *threads.back(), codec, policy, n,
           GatherOptions{settings.gather_endpoint.port,
                         settings.route_adoption_delay},
+          settings.route_confirmation_lifetime,
           EntryShardDependencies{
               [this, i](const ServerNotice& it) { PassOn(it, i); },
               crash_history, *reply_memory.back(), metrics}));
@@ -229,6 +230,11 @@
         it->SetConnectionPlan(plan);
       }
     };
+    events.on_confirmation = [this](const routes::RouteConfirmation& it) {
+      for (auto& shard : shards) {
+        shard->SetConfirmation(it);
+      }
+    };
     return events;
   }
 
--- a/libs/entry/src/entry_shard.cc
+++ b/libs/entry/src/entry_shard.cc
@@ -40,6 +40,9 @@
 // Retry delay for callers while no routes are known; control VMs are polled
 // several times within it.
 constexpr Duration kNoRoutesRetryAfter = std::chrono::milliseconds(500);
+// Retry delay for callers while the routes are not confirmed: another node, to
+// which the balancer may send the caller, can be in contact.
+constexpr Duration kNotConfirmedRetryAfter = std::chrono::milliseconds(100);
 
 }  // namespace
 
@@ -48,6 +51,7 @@
                        const relay::RelayPolicy& policy,
                        unsigned shards,
                        const GatherOptions& gather,
+                       Duration route_confirmation_lifetime,
                        EntryShardDependencies deps)
     : thread_(thread),
       codec_(codec),
@@ -58,6 +62,7 @@
       reply_memory_(deps.reply_memory),
       metrics_(deps.metrics),
       random_(std::random_device{}()),
+      route_confirmation_lifetime_(route_confirmation_lifetime),
       connections_(
           thread.context(),
           reply_memory_,
@@ -176,15 +181,17 @@
     return;
   }
   const CallerAccess access = CheckAccess(*table_, *route, caller);
-  if (!access.granted) {
-    Increment(metrics_, Counter::kRequestsWithoutAccess);
-    telemetry::LogEvent(
-        LogLevel::kWarning, "request_without_access",
-        {{"request", caller.id},
-         {"route", route->name},
-         {"reason", caller.key ? "unknown_key" : "no_key"},
-         {"routes_version", std::to_string(table_->set.version)}});
-    exchange->Respond(codec_.encode_no_access());
+  const bool is_confirmed =
+      NeedsKey(*table_, *route)
+          ? routes::IsConfirmed(followed_routes_, route_confirmation_lifetime_,
+                                now)
+          : true;
+  if (!is_confirmed && may_park) {
+    ParkRequest(std::move(exchange), caller);
+    return;
+  }
+  if (!access.granted || !is_confirmed) {
+    Deny(*exchange, caller, *route, is_confirmed);
     return;
   }
   if (may_park && !KnowsServers(*route)) {
@@ -210,6 +217,35 @@
         crashes.action == claims::CrashAction::kRun ? route->attempts : 1);
 }
 
+void EntryShard::Deny(transport::Exchange& exchange,
+                      const CallerRequest& caller,
+                      const routes::Route& route,
+                      bool is_confirmed) {
+  // A key that is unknown here may be in the newest routes.
+  if (!is_confirmed) {
+    std::uniform_real_distribution<double> spread(1.0, 2.0);
+    const auto retry_after = std::chrono::duration_cast<Duration>(
+        kNotConfirmedRetryAfter * spread(random_));
+    telemetry::LogEvent(LogLevel::kWarning, "request_refused",
+                        {{"request", caller.id},
+                         {"route", route.name},
+                         {"reason", "configuration_not_confirmed"},
+                         {"retry_after_ms", Milliseconds(retry_after)}});
+    Increment(metrics_, Counter::kRequestsNotConfirmed);
+    exchange.Respond(codec_.encode_refused(
+        {relay::RefusalReason::kConfigurationNotConfirmed, retry_after}));
+    return;
+  }
+  Increment(metrics_, Counter::kRequestsWithoutAccess);
+  telemetry::LogEvent(
+      LogLevel::kWarning, "request_without_access",
+      {{"request", caller.id},
+       {"route", route.name},
+       {"reason", caller.key ? "unknown_key" : "no_key"},
+       {"routes_version", std::to_string(table_->set.version)}});
+  exchange.Respond(codec_.encode_no_access());
+}
+
 relay::ServicePool& EntryShard::PoolOf(const ServiceName& service) {
   auto it = pools_.find(service);
   if (it == pools_.end()) {
--- a/libs/entry/src/entry_shard.h
+++ b/libs/entry/src/entry_shard.h
@@ -27,6 +27,7 @@
 #include "gooseberryrock/relay/request_machine.h"
 #include "gooseberryrock/relay/service_pool.h"
 #include "gooseberryrock/relay/weighted_choice.h"
+#include "gooseberryrock/routes/route_confirmation.h"
 #include "gooseberryrock/routes/route_table.h"
 #include "gooseberryrock/transport/http_message.h"
 #include "server_notice.h"
@@ -90,6 +91,7 @@
              const relay::RelayPolicy& policy,
              unsigned shards,
              const GatherOptions& gather,
+             Duration route_confirmation_lifetime,
              EntryShardDependencies deps);
   EntryShard(const EntryShard&) = delete;
   EntryShard& operator=(const EntryShard&) = delete;
@@ -103,6 +105,7 @@
 
   // Thread-safe.
   void SetRoutes(RouteTablePtr table);
+  void SetConfirmation(const routes::RouteConfirmation& confirmation);
   void UpdateServers(std::vector<ServerChange> changes);
   void SetConnectionPlan(ConnectionPlan plan);
   // Handles a notice that another I/O shard received.
@@ -141,6 +144,12 @@
   relay::RelayContext Context() { return {policy_, random_}; }
   // Starts, parks or refuses the request.
   void Admit(std::shared_ptr<transport::Exchange> exchange);
+  // Answers a request whose caller may not use the route, or not before the
+  // routes are confirmed.
+  void Deny(transport::Exchange& exchange,
+            const CallerRequest& caller,
+            const routes::Route& route,
+            bool is_confirmed);
   // Sends the request, or each part of it, to at most `attempts` servers.
   // `organisation` is that of the caller, or null.
   void Start(std::shared_ptr<transport::Exchange> exchange,
@@ -272,6 +281,9 @@
   // Everything below is guarded by `mutex_`.
   std::mt19937_64 random_;
   RouteTablePtr table_;
+  // Of `table_`.
+  routes::FollowedRoutes followed_routes_;
+  const Duration route_confirmation_lifetime_;
   // Routes that are known but not followed yet, with the time from which they
   // are. Newest last.
   std::deque<std::pair<RouteTablePtr, SteadyTime>> coming_tables_;
--- a/libs/entry/src/entry_shard_gather.cc
+++ b/libs/entry/src/entry_shard_gather.cc
@@ -238,6 +238,7 @@
     earlier_tables_.emplace_back(std::move(table_), now);
   }
   table_ = std::move(newest);
+  routes::Follow(followed_routes_, table_->set.version);
   relayed_services_ = routes::RelayedServices(table_->set);
   UpdateGatherNodes();
   ApplyAllShares();
--- a/libs/entry/src/entry_shard_servers.cc
+++ b/libs/entry/src/entry_shard_servers.cc
@@ -90,6 +90,14 @@
   });
 }
 
+void EntryShard::SetConfirmation(
+    const routes::RouteConfirmation& confirmation) {
+  thread_.Post([this, confirmation] {
+    std::lock_guard lock(mutex_);
+    routes::RecordConfirmation(followed_routes_, confirmation);
+  });
+}
+
 void EntryShard::UpdateServers(std::vector<ServerChange> changes) {
   thread_.Post([this, changes = std::move(changes)] {
     std::lock_guard lock(mutex_);
--- a/libs/entry/src/outcome_log.cc
+++ b/libs/entry/src/outcome_log.cc
@@ -35,6 +35,8 @@
       return "crashes_servers";
     case relay::RefusalReason::kNotInTime:
       return "not_in_time";
+    case relay::RefusalReason::kConfigurationNotConfirmed:
+      return "configuration_not_confirmed";
   }
   return "unknown";
 }
--- a/libs/relay/include/gooseberryrock/relay/outcome.h
+++ b/libs/relay/include/gooseberryrock/relay/outcome.h
@@ -41,6 +41,8 @@
   // Servers crash when they run the request.
   kCrashesServers,
   kNotInTime,
+  // The node does not know whether its configuration is the newest one.
+  kConfigurationNotConfirmed,
 };
 
 // The request was not executed and will not be.
--- a/libs/settings/include/gooseberryrock/settings/tier_intervals.h
+++ b/libs/settings/include/gooseberryrock/settings/tier_intervals.h
@@ -26,6 +26,11 @@
   // below the contact time.
   Duration remembered_servers_time;
   Duration remembered_server_lifetime;
+  // How long an entry node serves callers with keys after its routes were known
+  // to be the newest ones, and how often a control VM asks the leader. Zero if
+  // there is no bound on the use of a key that was taken away.
+  Duration route_confirmation_lifetime;
+  Duration route_confirmation_interval;
   // A connection between nodes that is silent for the timeout is opened again.
   Duration peer_heartbeat_interval;
   Duration peer_heartbeat_timeout;
--- a/libs/settings/include/gooseberryrock/settings/tier_settings.h
+++ b/libs/settings/include/gooseberryrock/settings/tier_settings.h
@@ -64,6 +64,10 @@
   // Time from the acknowledgement that a server drains until it gets no more
   // requests.
   Duration server_drain_time = std::chrono::seconds(3);
+  // Time from the acknowledgement that a key was taken away until no node
+  // serves callers with it, also one that is cut off; zero if there is no
+  // bound.
+  Duration key_revocation_time = Duration::zero();
   // Time limit from the stop signal to the exit of the process.
   Duration stop_time = std::chrono::seconds(6);
 };
--- a/libs/settings/src/tier_intervals.cc
+++ b/libs/settings/src/tier_intervals.cc
@@ -27,6 +27,11 @@
 constexpr int kContactTimeParts = 40;
 constexpr int kRememberedServersParts = 12;
 constexpr int kRememberedServerLifetimeParts = 25;
+// Parts of the key revocation time, in tenths: the last one covers the drift of
+// the clocks of VMs and the time from the arrival of a request to its check.
+constexpr int kKeyRevocationParts = 10;
+constexpr int kConfirmationLifetimeParts = 9;
+constexpr int kConfirmationsInKeyRevocationTime = 20;
 constexpr int kHeartbeatsInContactTime = 8;
 constexpr int kHeartbeatsUntilTimeout = 3;
 constexpr int kControlDrainsInStopTime = 3;
@@ -47,6 +52,12 @@
       std::min(kMaxRememberedServersTime, part * kRememberedServersParts);
   intervals.remembered_server_lifetime = std::min(
       kMaxRememberedServerLifetime, part * kRememberedServerLifetimeParts);
+  intervals.route_confirmation_lifetime = settings.key_revocation_time /
+                                          kKeyRevocationParts *
+                                          kConfirmationLifetimeParts;
+  intervals.route_confirmation_interval =
+      std::min(kMaxPollInterval, settings.key_revocation_time /
+                                     kConfirmationsInKeyRevocationTime);
   intervals.peer_heartbeat_interval = std::min(
       kMaxHeartbeatInterval, settings.contact_time / kHeartbeatsInContactTime);
   intervals.peer_heartbeat_timeout =
--- a/libs/settings/src/tier_settings.cc
+++ b/libs/settings/src/tier_settings.cc
@@ -175,6 +175,10 @@
                                                 settings.route_change_time);
   settings.server_drain_time = ReadMilliseconds(root, "server_drain_time_ms",
                                                 settings.server_drain_time);
+  if (root.json.contains("key_revocation_time_ms")) {
+    settings.key_revocation_time = ReadMilliseconds(
+        root, "key_revocation_time_ms", settings.key_revocation_time);
+  }
   settings.extra_attempt_share =
       ReadNumber(root, "extra_attempt_share", 0, kMaxExtraAttemptShare,
                  settings.extra_attempt_share);
--- a/libs/telemetry/include/gooseberryrock/telemetry/metric_names.h
+++ b/libs/telemetry/include/gooseberryrock/telemetry/metric_names.h
@@ -28,6 +28,7 @@
   kCommandsRefused,
   kRequestsWithoutRoute,
   kRequestsWithoutAccess,
+  kRequestsNotConfirmed,
   kCallersGone,
   kForeignReplies,
   kServerConnectsFailed,
--- a/libs/telemetry/src/metric_names.cc
+++ b/libs/telemetry/src/metric_names.cc
@@ -39,6 +39,9 @@
      "Requests that no route in force leads anywhere."},
     {"gbr_requests_without_access_total",
      "Requests refused because their caller sent no key of an organisation."},
+    {"gbr_requests_not_confirmed_total",
+     "Requests refused because the node did not know whether its configuration "
+     "was the newest one."},
     {"gbr_callers_gone_total",
      "Requests whose caller closed its connection before the answer."},
     {"gbr_foreign_replies_total",
--- a/tests/process/tier_cluster.cc
+++ b/tests/process/tier_cluster.cc
@@ -192,6 +192,9 @@
       {"ready_address", host + ":" + std::to_string(kReadyPort)},
       {"metrics_address", host + ":" + std::to_string(kMetricsPort)},
       {"stop_time_s", 4}};
+  for (const auto& [name_of_field, value] : options_.settings) {
+    settings[name_of_field] = value;
+  }
   for (size_t i = 0; i < kControlVms; ++i) {
     settings["control_vms"].push_back(ControlHost(i) + ":" +
                                       std::to_string(kControlPort));
@@ -238,6 +241,12 @@
   std::optional<ReplyField> field;
   {
     std::lock_guard lock(mutex_);
+    std::string fields;
+    for (const auto& it : exchange->request()) {
+      fields +=
+          it.name_string().to_string() + ": " + it.value().to_string() + "\n";
+    }
+    server_requests_.push_back(std::move(fields));
     if (!crash_target_.empty() &&
         exchange->request().target() == crash_target_) {
       CrashServer(server, exchange);
@@ -394,6 +403,12 @@
   transport::Request request(http::string_to_verb(method), path, 11);
   request.set("Host", "h");
   request.set("X-Request-Id", "r" + std::to_string(next_request_++));
+  {
+    std::lock_guard lock(mutex_);
+    if (!caller_key_.empty()) {
+      request.set("X-Key", caller_key_);
+    }
+  }
   const auto patience =
       std::chrono::duration_cast<milliseconds>(timeout) - milliseconds(500);
   request.set("X-Deadline-Ms", std::to_string(patience.count()));
@@ -415,8 +430,14 @@
 }
 
 bool TierCluster::PutRoutes(uint64_t version) {
-  const std::string body =
-      MakeRoutesDocument(version, options_.connection_limit).dump();
+  json document = MakeRoutesDocument(version, options_.connection_limit);
+  {
+    std::lock_guard lock(mutex_);
+    if (!organisations_.empty()) {
+      document["tenants"] = json::parse(organisations_);
+    }
+  }
+  const std::string body = document.dump();
   for (int i = 0; i < 40; ++i) {
     const auto reply = CallControl(static_cast<size_t>(i) % kControlVms, "POST",
                                    "/v1/config/replace", body);
@@ -449,6 +470,32 @@
   return false;
 }
 
+void TierCluster::SetOrganisations(const std::string& organisations) {
+  std::lock_guard lock(mutex_);
+  organisations_ = organisations;
+}
+
+void TierCluster::SetCallerKey(const std::string& key) {
+  std::lock_guard lock(mutex_);
+  caller_key_ = key;
+}
+
+std::string TierCluster::Logs() const {
+  std::string logs;
+  for (const auto& it : std::filesystem::directory_iterator(folder_)) {
+    if (it.path().extension() == ".log") {
+      std::ifstream in(it.path());
+      logs.append(std::istreambuf_iterator<char>(in), {});
+    }
+  }
+  return logs;
+}
+
+std::vector<std::string> TierCluster::ServerRequests() {
+  std::lock_guard lock(mutex_);
+  return server_requests_;
+}
+
 std::map<std::string, int> TierCluster::Executions() {
   std::lock_guard lock(mutex_);
   return executions_;
--- a/tests/process/tier_cluster.h
+++ b/tests/process/tier_cluster.h
@@ -32,6 +32,8 @@
   // All servers are in the failure domain of the first entry node, instead of
   // in each domain in turn.
   bool servers_in_first_domain = false;
+  // Further numbers in the settings of all nodes.
+  std::map<std::string, int> settings = {};
 };
 
 class TierCluster {
@@ -71,6 +73,12 @@
       const std::string& path,
       Duration timeout = std::chrono::seconds(2));
 
+  // Further calls of PutRoutes() include this JSON list of organisations.
+  void SetOrganisations(const std::string& organisations);
+  // Further requests of callers have this key; none if it is empty.
+  void SetCallerKey(const std::string& key);
+  // The output of all nodes and control VMs.
+  std::string Logs() const;
   // Submits routes with `version` to the control VMs in turn until one
   // acknowledges them.
   bool PutRoutes(uint64_t version);
@@ -116,6 +124,8 @@
   std::string ExplainLastRequest();
   // Returns how often the stand-in servers ran each non-idempotent request.
   std::map<std::string, int> Executions();
+  // Returns the header fields of all requests that the stand-in servers got.
+  std::vector<std::string> ServerRequests();
 
  private:
   struct ReplyField {
@@ -146,6 +156,9 @@
   std::mutex mutex_;
   // Guarded by `mutex_`.
   std::map<std::string, int> executions_;
+  std::vector<std::string> server_requests_;
+  std::string organisations_;
+  std::string caller_key_;
   std::map<size_t, ServerFault> faults_;
   // By server.
   std::map<size_t, ReplyField> reply_fields_;
--- a/tests/settings/tier_settings_test.cc
+++ b/tests/settings/tier_settings_test.cc
@@ -61,6 +61,13 @@
     EXPECT_LT(intervals.peer_heartbeat_timeout, bound);
     EXPECT_LT(intervals.poll_interval + intervals.poll_reply_timeout, bound);
     EXPECT_LT(intervals.poll_interval + intervals.route_adoption_delay, bound);
+    EXPECT_EQ(intervals.route_confirmation_lifetime, Duration::zero());
+    EXPECT_EQ(intervals.route_confirmation_interval, Duration::zero());
+    const TierIntervals keys = MakeTierIntervals(
+        Load(", \"key_revocation_time_ms\": " + std::to_string(ms)));
+    EXPECT_LT(keys.route_confirmation_lifetime, bound);
+    EXPECT_LT(keys.route_confirmation_interval * 4,
+              keys.route_confirmation_lifetime);
   }
 }
 
