transport: discard what a given-up request has not delivered

A partition held up requests to gathering nodes, and delivered them when it ended, seconds after their sender had given them up and sent them to another node.

Close() now resets a connection whose request has no reply.

--- a/libs/transport/include/gooseberryrock/transport/server_connection.h
+++ b/libs/transport/include/gooseberryrock/transport/server_connection.h
@@ -80,7 +80,8 @@
   // data. Ends with the next Send().
   void WatchIdle(std::function<void()> handler);
 
-  // Closes the connection. No handler is called afterwards.
+  // Closes the connection. No handler is called afterwards. What the peer has
+  // not received yet of a request without a reply is discarded.
   void Close();
 
  private:
--- a/libs/transport/src/server_connection.cc
+++ b/libs/transport/src/server_connection.cc
@@ -267,11 +267,18 @@
     return;
   }
   impl_->closed = true;
+  ErrorCode ignored;
+  if (impl_->on_reply) {
+    // Resets the connection, so that bytes which have not been delivered yet
+    // never are: after a partition the peer would otherwise get a request that
+    // was given up long ago.
+    impl_->socket.set_option(boost::asio::socket_base::linger(true, 0),
+                             ignored);
+  }
   impl_->on_reply = nullptr;
   impl_->on_interim = nullptr;
   impl_->connect_timer.cancel();
   impl_->reservation.End();
-  ErrorCode ignored;
   impl_->socket.close(ignored);
 }
 
--- a/tests/transport/server_connection_test.cc
+++ b/tests/transport/server_connection_test.cc
@@ -6,9 +6,14 @@
 
 #include <atomic>
 #include <chrono>
+#include <future>
+#include <memory>
 #include <string>
 #include <vector>
 
+#include <boost/asio/io_context.hpp>
+
+#include "gooseberryrock/transport/endpoint.h"
 #include "gooseberryrock/transport/server_connection.h"
 #include "raw_socket.h"
 #include "server_caller.h"
@@ -236,5 +241,40 @@
   EXPECT_EQ(requests, 1);
 }
 
+// Guards against a request that reaches its server after it was given up. Bytes
+// that a partition holds up would be delivered when it ends, and the server
+// would run a request that another one has run meanwhile.
+TEST(ServerConnectionCloseTest, BytesNotDeliveredYetAreDiscarded) {
+  std::promise<void> closed;
+  std::promise<ssize_t> last_read;
+  RawServer server([&](RawSocket& socket, size_t) {
+    // As behind a partition, the bytes wait at the sender.
+    closed.get_future().wait();
+    std::vector<char> buf(size_t{1} << 20U);
+    ssize_t n = 0;
+    do {
+      n = ::recv(socket.fd(), buf.data(), buf.size(), 0);
+    } while (n > 0);
+    last_read.set_value(n);
+  });
+  boost::asio::io_context context;
+  auto connection = std::make_shared<ServerConnection>(context);
+  bool connected = false;
+  connection->Connect({"127.0.0.1", server.port()}, seconds(1),
+                      [&](bool success) { connected = success; });
+  context.run_for(std::chrono::milliseconds(200));
+  ASSERT_TRUE(connected);
+  Request request(boost::beast::http::verb::post, "/", 11);
+  request.body() = std::string(kMaxSent, 'x');
+  request.prepare_payload();
+  connection->Send(std::move(request), kMaxBody,
+                   [](const Reply&) { ADD_FAILURE(); });
+  context.restart();
+  context.run_for(std::chrono::milliseconds(200));
+  connection->Close();
+  closed.set_value();
+  EXPECT_EQ(last_read.get_future().get(), -1) << "the connection was not reset";
+}
+
 }  // namespace
 }  // namespace gooseberryrock::transport
