control, entry: send changes of the entry node list instead of the list

A control VM copied and hashed the list of all entry nodes for each poll, four times a second from each node, and sent it whole to each node at each change. Polls, replies and hellos now name the version and digest of the list, and hold only what changed since; the list is sent whole to a receiver that has none or is too far behind, and is never applied if its digest differs.

--- a/libs/control/src/control_node.cc
+++ b/libs/control/src/control_node.cc
@@ -14,8 +14,8 @@
 #include <vector>
 
 #include "control_peers.h"
+#include "entry_node_lists.h"
 #include "gooseberryrock/base/clock.h"
-#include "gooseberryrock/base/hash.h"
 #include "gooseberryrock/claims/shared_crash_history.h"
 #include "gooseberryrock/control/control_client.h"
 #include "gooseberryrock/control/control_codec.h"
@@ -122,6 +122,7 @@
                                 node_settings.replacement_time)),
         incarnation(peer::MakeIncarnation()),
         peers(settings.node, settings.failure_domain),
+        entry_nodes(incarnation),
         registry(
             settings.node,
             incarnation,
@@ -272,11 +273,8 @@
              static_cast<double>(servers.draining));
     SetGauge(metrics, Gauge::kPeersReachable,
              static_cast<double>(peers.CountPresent(now)));
-    size_t entry_nodes = 0;
-    for (const auto& [domain, nodes] : peers.AllEntryNodes(now)) {
-      entry_nodes += nodes.size();
-    }
-    SetGauge(metrics, Gauge::kEntryNodes, static_cast<double>(entry_nodes));
+    SetGauge(metrics, Gauge::kEntryNodes,
+             static_cast<double>(entry_nodes.Count()));
     {
       std::lock_guard lock(mutex);
       SetGauge(metrics, Gauge::kRoutesVersion,
@@ -350,13 +348,9 @@
     ControlPeer peer;
     peer.domain = {hello.failure_domain()};
     peer.contact = {hello.storage_id(), now, hello.leaving()};
-    for (const proto::EntryNodes& it : hello.entry_nodes()) {
-      for (const std::string& node : it.nodes()) {
-        peer.entry_nodes[{node}] = {it.failure_domain()};
-      }
-    }
     AddControlVms({frame.sender});
     peers.OnHello(frame.sender, std::move(peer));
+    entry_nodes.OnHello(frame, hello, now);
     std::vector<NodeId> others;
     for (const std::string& it : hello.control_vms()) {
       others.push_back({it});
@@ -368,7 +362,7 @@
 
   void OnEntryPoll(const peer::PeerFrame& frame, SteadyTime now) {
     const auto poll = proto::Parse<proto::EntryPoll>(frame.body);
-    if (peers.OnEntryPoll(frame.sender, {poll.failure_domain()}, now)) {
+    if (entry_nodes.OnPoll(frame.sender, {poll.failure_domain()}, now)) {
       socket->AddPeer({frame.sender, frame.sender.value, settings.peer_port});
     }
     proto::EntryPollReply reply;
@@ -383,7 +377,7 @@
       reply.add_control_vms(it.value);
     }
     if (now - started_at >= kEntryNodeDiscoveryTime) {
-      AddEntryNodes(poll, reply);
+      entry_nodes.AnswerPoll(poll, reply);
     }
     {
       std::lock_guard lock(mutex);
@@ -413,24 +407,6 @@
     reply.set_crashes_received(poll.crashes_count());
   }
 
-  void AddEntryNodes(const proto::EntryPoll& poll,
-                     proto::EntryPollReply& reply) const {
-    uint64_t digest = 0;
-    for (const auto& [domain, nodes] : peers.AllEntryNodes(BootTime())) {
-      auto& message = *reply.add_entry_nodes();
-      message.set_failure_domain(domain.value);
-      digest = Hash64(domain.value, digest);
-      for (const NodeId& it : nodes) {
-        message.add_nodes(it.value);
-        digest = Hash64(it.value, digest);
-      }
-    }
-    reply.set_entry_nodes_digest(digest);
-    if (poll.entry_nodes_digest() == digest) {
-      reply.clear_entry_nodes();
-    }
-  }
-
   // Periodic tasks.
 
   void RunMaintenance() {
@@ -455,7 +431,7 @@
   }
 
   void SendHellos(bool is_leaving, SteadyTime now) {
-    for (const NodeId& it : peers.RemoveLostEntryNodes(now)) {
+    for (const NodeId& it : entry_nodes.RemoveLost(now)) {
       socket->RemovePeer(it);
     }
     const std::vector<NodeId> vms = peers.Vms();
@@ -464,15 +440,6 @@
     hello.set_failure_domain(settings.failure_domain.value);
     hello.set_storage_id(log->storage_id());
     hello.set_leaving(is_leaving);
-    std::map<FailureDomain, proto::EntryNodes*> by_domain;
-    for (const auto& [node, domain] : peers.PollingEntryNodes()) {
-      proto::EntryNodes*& nodes = by_domain[domain];
-      if (nodes == nullptr) {
-        nodes = hello.add_entry_nodes();
-        nodes->set_failure_domain(domain.value);
-      }
-      nodes->add_nodes(node.value);
-    }
     for (const NodeId& it : vms) {
       hello.add_control_vms(it.value);
     }
@@ -481,6 +448,7 @@
                            *hello.mutable_crashes());
     for (const NodeId& it : vms) {
       hello.set_directory_count(registry.SentCount(it));
+      entry_nodes.FillHello(it, hello);
       socket->Send(it, peer::FrameKind::kControlHello,
                    hello.SerializeAsString());
     }
@@ -576,6 +544,7 @@
   uint64_t counted_malformed = 0;
   transport::IoThread io;
   ControlPeers peers;
+  EntryNodeLists entry_nodes;
   claims::SharedCrashHistory crash_history;
   std::optional<peer::PeerSocket> socket;
   Registry registry;
--- a/libs/control/src/control_peers.cc
+++ b/libs/control/src/control_peers.cc
@@ -1,4 +1,4 @@
-// Control VMs and entry nodes known to a control VM.
+// Control VMs known to a control VM.
 
 #include "control_peers.h"
 
@@ -9,9 +9,6 @@
 
 namespace {
 
-// Entry nodes poll every 250 ms. Long enough for a restarted entry node to keep
-// its share of the connection limits.
-constexpr Duration kEntryNodeTimeout = std::chrono::seconds(10);
 // Hello interval: 500 ms.
 constexpr Duration kVmTimeout = std::chrono::milliseconds(1600);
 
@@ -30,26 +27,6 @@
   vms_[from] = std::move(peer);
 }
 
-bool ControlPeers::OnEntryPoll(const NodeId& node,
-                               const FailureDomain& domain,
-                               SteadyTime now) {
-  std::lock_guard lock(mutex_);
-  return entry_nodes_.insert_or_assign(node, std::pair(domain, now)).second;
-}
-
-std::vector<NodeId> ControlPeers::RemoveLostEntryNodes(SteadyTime now) {
-  std::lock_guard lock(mutex_);
-  std::vector<NodeId> forgotten;
-  std::erase_if(entry_nodes_, [&](const auto& it) {
-    const bool lost = now - it.second.second >= kEntryNodeTimeout;
-    if (lost) {
-      forgotten.push_back(it.first);
-    }
-    return lost;
-  });
-  return forgotten;
-}
-
 size_t ControlPeers::CountPresent(SteadyTime now) const {
   std::lock_guard lock(mutex_);
   return static_cast<size_t>(
@@ -76,33 +53,6 @@
   return contacts;
 }
 
-std::map<NodeId, FailureDomain> ControlPeers::PollingEntryNodes() const {
-  std::lock_guard lock(mutex_);
-  std::map<NodeId, FailureDomain> nodes;
-  for (const auto& [node, entry] : entry_nodes_) {
-    nodes[node] = entry.first;
-  }
-  return nodes;
-}
-
-std::map<FailureDomain, std::set<NodeId>> ControlPeers::AllEntryNodes(
-    SteadyTime now) const {
-  std::lock_guard lock(mutex_);
-  std::map<FailureDomain, std::set<NodeId>> all;
-  for (const auto& [node, entry] : entry_nodes_) {
-    all[entry.first].insert(node);
-  }
-  for (const auto& [vm, peer] : vms_) {
-    if (now - peer.contact.last_contact >= kEntryNodeTimeout) {
-      continue;
-    }
-    for (const auto& [node, domain] : peer.entry_nodes) {
-      all[domain].insert(node);
-    }
-  }
-  return all;
-}
-
 NodeId ControlPeers::FindVmIn(const FailureDomain& domain,
                               SteadyTime now) const {
   if (domain == domain_) {
--- a/libs/entry/src/control_poller.cc
+++ b/libs/entry/src/control_poller.cc
@@ -11,16 +11,19 @@
 #include <thread>
 #include <utility>
 
+#include "connection_plan.h"
 #include "gooseberryrock/base/clock.h"
 #include "gooseberryrock/claims/shared_crash_history.h"
 #include "gooseberryrock/directory/directory_exchange.h"
 #include "gooseberryrock/entry/known_servers.h"
+#include "gooseberryrock/node_list/followed_node_list.h"
 #include "gooseberryrock/peer/frame.h"
 #include "gooseberryrock/peer/incarnation.h"
 #include "gooseberryrock/peer/peer_socket.h"
 #include "gooseberryrock/proto/binary_codec.h"
 #include "gooseberryrock/proto/convert_claims.h"
 #include "gooseberryrock/proto/convert_directory.h"
+#include "gooseberryrock/proto/convert_node_list.h"
 #include "gooseberryrock/proto/malformed_message_error.h"
 #include "gooseberryrock/routes/compressed_text.h"
 #include "gooseberryrock/routes/route_error.h"
@@ -58,6 +61,8 @@
   // did.
   uint64_t incarnation = 0;
   uint64_t directory_count = 0;
+  // Its last reply left out records that the next one contains.
+  bool has_more_records = false;
   // The process that the crash records were exchanged with; 0 if there is none.
   uint64_t crashes_incarnation = 0;
   // Change of its crash records up to which this node has them.
@@ -194,7 +199,8 @@
       const NodeId& node = others[next_other++ % others.size()];
       ControlVm& vm = vms[node];
       const bool with_directory =
-          vm.incarnation == 0 && known < kInitialDirectories;
+          vm.has_more_records ||
+          (vm.incarnation == 0 && known < kInitialDirectories);
       known += with_directory ? 1 : 0;
       SendPoll(node, vm, with_directory, now);
     }
@@ -211,7 +217,7 @@
     proto::EntryPoll poll;
     poll.set_failure_domain(settings.failure_domain.value);
     poll.set_routes_version(routes_version);
-    poll.set_entry_nodes_digest(entry_nodes_digest);
+    proto::SetKnownNodeList(entry_nodes, poll);
     poll.set_without_directory(!with_directory);
     poll.set_sent_us(ToMicroseconds(now));
     if (with_directory) {
@@ -296,7 +302,8 @@
     crash_history.MergeNotices(proto::ReadCrashNotices(reply.crashes()),
                                BootTime());
     std::vector<ServerChange> changes;
-    std::optional<ConnectionPlan> plan = PlanOf(reply);
+    const auto update = proto::ReadNodeListUpdate(reply);
+    std::optional<ConnectionPlan> plan;
     {
       std::lock_guard lock(mutex);
       ControlVm& vm = vms[frame.sender];
@@ -318,15 +325,15 @@
         vm.directory_count = reply.directory_count();
         changes = MergeRecords(known_servers, records, *vm.replied_at);
         Remember(frame.sender, reply, *vm.replied_at, changes);
-        has_directory = true;
+        vm.has_more_records = reply.more_records();
+        has_directory = has_directory || !vm.has_more_records;
+        if (vm.has_more_records) {
+          poll_now = true;
+          changed.notify_all();
+        }
       }
-      if (plan) {
-        entry_nodes_digest = reply.entry_nodes_digest();
-      }
-      if (plan && *plan == last_plan) {
-        plan.reset();
-      } else if (plan) {
-        last_plan = *plan;
+      if (update) {
+        plan = FollowEntryNodes(frame, *update);
       }
     }
     if (plan) {
@@ -353,29 +360,26 @@
     }
   }
 
-  // Returns nullopt if the control VMs do not know this node yet.
-  std::optional<ConnectionPlan> PlanOf(
-      const proto::EntryPollReply& reply) const {
-    ConnectionPlan plan;
-    plan.place.domain = settings.failure_domain;
-    plan.self = settings.node;
-    bool found = false;
-    for (const proto::EntryNodes& it : reply.entry_nodes()) {
-      plan.reservation[{it.failure_domain()}] =
-          static_cast<uint32_t>(it.nodes_size());
-      std::vector<NodeId>& nodes = plan.nodes[{it.failure_domain()}];
-      for (const std::string& node : it.nodes()) {
-        nodes.push_back({node});
-      }
-      const auto self =
-          std::find(it.nodes().begin(), it.nodes().end(), settings.node.value);
-      if (it.failure_domain() == settings.failure_domain.value &&
-          self != it.nodes().end()) {
-        plan.place.position = static_cast<uint32_t>(self - it.nodes().begin());
-        found = true;
-      }
+  // Returns the new plan if it changed. Requires `mutex`.
+  std::optional<ConnectionPlan> FollowEntryNodes(
+      const peer::PeerFrame& frame,
+      const node_list::NodeListUpdate& update) {
+    const auto result = ApplyUpdate(entry_nodes, update, frame.incarnation);
+    if (result == node_list::UpdateResult::kRefused) {
+      telemetry::LogEvent(LogLevel::kWarning, "entry_nodes_refused",
+                          {{"control_vm", frame.sender.value},
+                           {"version", std::to_string(update.to)}});
+    }
+    if (result != node_list::UpdateResult::kChanged) {
+      return std::nullopt;
+    }
+    auto plan = MakeConnectionPlan(entry_nodes.list, settings.node,
+                                   settings.failure_domain);
+    if (!plan || *plan == last_plan) {
+      return std::nullopt;
     }
-    return found ? std::optional(std::move(plan)) : std::nullopt;
+    last_plan = *plan;
+    return plan;
   }
 
   void OnRoutes(const proto::RouteDocument& document) {
@@ -420,12 +424,13 @@
   uint64_t routes_version = 0;
   bool has_directory = false;
   bool stopping = false;
-  // The failure domain of a control VM became known during startup.
+  // The failure domain of a control VM became known during startup, or a reply
+  // left out records.
   bool poll_now = false;
   KnownServers known_servers;
   ConnectionPlan last_plan;
-  // Digest of the node list that `last_plan` was computed from.
-  uint64_t entry_nodes_digest = 0;
+  // `last_plan` was computed from the last list that contained this node.
+  node_list::FollowedNodeList entry_nodes;
   // Counter for polling control VMs of other failure domains in turn.
   size_t next_other = 0;
   std::condition_variable changed;
