--- a/libs/control/src/registry.cc
+++ b/libs/control/src/registry.cc
@@ -22,6 +22,11 @@
 // announcements of each server.
 constexpr Duration kCatchUpTime = std::chrono::seconds(5);
 
+// Records in a reply to a poll, about 300 bytes each. A node that needs more
+// polls again at once, so that neither the directory of a starting node nor the
+// return of a whole failure domain blocks the connection with one large frame.
+constexpr size_t kMaxRecordsPerReply = 500;
+
 // Placeholder record for a server that withdraws before it is known to this VM.
 // Other nodes may know it.
 directory::ServerRecord UnknownServer() {
@@ -157,10 +162,13 @@
              directory::MakeRootDigest(directory_).root) {
     since = directory_.change_count;
   }
-  for (const auto& record : directory::ChangesSince(directory_, since)) {
+  const directory::DirectoryChanges changes =
+      directory::SomeChangesSince(directory_, since, kMaxRecordsPerReply);
+  for (const auto& record : changes.records) {
     *reply.add_records() = proto::ToMessage(record);
   }
-  reply.set_directory_count(directory_.change_count);
+  reply.set_directory_count(changes.to);
+  reply.set_more_records(changes.has_more);
   if (poll.directory_incarnation() == incarnation_ ||
       now >= remembered_servers_until_) {
     return;
--- a/libs/directory/include/gooseberryrock/directory/directory.h
+++ b/libs/directory/include/gooseberryrock/directory/directory.h
@@ -83,6 +83,19 @@
 std::vector<ServerRecord> ChangesSince(const Directory& directory,
                                        uint64_t since);
 
+struct DirectoryChanges {
+  std::vector<ServerRecord> records;
+  // The receiver has all changes up to this change count.
+  uint64_t to = 0;
+  // Whether records were left out.
+  bool has_more = false;
+};
+
+// As ChangesSince(), but returns at most `max` records.
+DirectoryChanges SomeChangesSince(const Directory& directory,
+                                  uint64_t since,
+                                  size_t max);
+
 // Removes the servers that have been gone for kGoneRetention. Returns the
 // number of removed records.
 size_t RemoveGone(Directory& directory, SteadyTime now);
--- a/libs/directory/src/directory.cc
+++ b/libs/directory/src/directory.cc
@@ -2,6 +2,7 @@
 
 #include "gooseberryrock/directory/directory.h"
 
+#include <iterator>
 #include <string>
 
 #include "gooseberryrock/base/hash.h"
@@ -155,6 +156,23 @@
   return changes;
 }
 
+DirectoryChanges SomeChangesSince(const Directory& directory,
+                                  uint64_t since,
+                                  size_t max) {
+  DirectoryChanges changes;
+  changes.to = directory.change_count;
+  for (auto it = directory.changes.upper_bound(since);
+       it != directory.changes.end(); ++it) {
+    if (changes.records.size() == max) {
+      changes.has_more = true;
+      changes.to = std::prev(it)->first;
+      break;
+    }
+    changes.records.push_back(directory.entries.at(it->second).record);
+  }
+  return changes;
+}
+
 size_t RemoveGone(Directory& directory, SteadyTime now) {
   size_t n = 0;
   while (!directory.gone.empty() &&
--- a/tests/directory/directory_test.cc
+++ b/tests/directory/directory_test.cc
@@ -67,6 +67,35 @@
       1U);
 }
 
+// Guards against one frame with the whole directory for each starting node, and
+// against records lost between two parts while records change.
+TEST(DirectoryTest, ChangesAreReturnedInParts) {
+  Directory directory;
+  for (int i = 0; i < 10; ++i) {
+    AcceptAnnouncement(directory, Server(std::to_string(i)), kA, kStart);
+  }
+  Directory copy;
+  DirectoryChanges changes;
+  for (int parts = 0; parts == 0 || changes.has_more; ++parts) {
+    ASSERT_LT(parts, 10);
+    changes = SomeChangesSince(directory, changes.to, 4);
+    EXPECT_LE(changes.records.size(), 4U);
+    for (const ServerRecord& it : changes.records) {
+      MergeRecord(copy, it, kA, kStart);
+    }
+    if (parts == 0) {
+      AcceptAnnouncement(directory, Server("1", ServerState::kDraining), kA,
+                         kStart);
+      AcceptAnnouncement(directory, Server("7", ServerState::kDraining), kA,
+                         kStart);
+    }
+  }
+  EXPECT_EQ(changes.to, directory.change_count);
+  EXPECT_EQ(MakeRootDigest(copy).root, MakeRootDigest(directory).root);
+  EXPECT_FALSE(SomeChangesSince(directory, changes.to, 4).has_more);
+  EXPECT_FALSE(SomeChangesSince(directory, 0, 10).has_more);
+}
+
 TEST(DirectoryTest, AnnouncementThroughAnotherNodeMovesOwnership) {
   Directory at_a;
   Directory at_b;
