control, entry: send a changed configuration as a difference

Each node got the whole document at each change. A control VM keeps the last four texts, computes the difference once for each pair of versions, and sends it to nodes that name the version and hash of such a text. The node checks the hash of the result and requests the whole text if it differs.

--- a/libs/control/src/control_node.cc
+++ b/libs/control/src/control_node.cc
@@ -48,6 +48,7 @@
 #include "registry.h"
 #include "route_calls.h"
 #include "route_confirmer.h"
+#include "route_updates.h"
 
 namespace gooseberryrock::control {
 
@@ -134,14 +135,14 @@
                    [this](const peer::PeerFrame& it) { OnFrame(it); });
     AddControlVms(settings.control_vms);
     LoadRememberedServers();
-    log.emplace(LogOptions(settings),
-                MakeStateMachine(
-                    state, [](const auto& /*catalog*/) {},
-                    [this](const StoredRoutes& it) { OnStoredRoutes(it); }),
-                [this](const NodeId& to, std::string body) {
-                  socket->Send(to, peer::FrameKind::kConsensus,
-                               std::move(body));
-                });
+    log.emplace(
+        LogOptions(settings),
+        MakeStateMachine(
+            state, [](const auto& /*catalog*/) {},
+            [this](const StoredRoutes& it) { route_updates.OnStored(it); }),
+        [this](const NodeId& to, std::string body) {
+          socket->Send(to, peer::FrameKind::kConsensus, std::move(body));
+        });
     members.emplace(settings.node, settings.tolerated_losses, policy, peers,
                     *log, started_at);
     client.emplace(
@@ -275,11 +276,8 @@
              static_cast<double>(peers.CountPresent(now)));
     SetGauge(metrics, Gauge::kEntryNodes,
              static_cast<double>(entry_nodes.Count()));
-    {
-      std::lock_guard lock(mutex);
-      SetGauge(metrics, Gauge::kRoutesVersion,
-               static_cast<double>(routes.version));
-    }
+    SetGauge(metrics, Gauge::kRoutesVersion,
+             static_cast<double>(route_updates.Version()));
     const peer::PeerStats stats = socket->Stats();
     IncrementTo(metrics, telemetry::Counter::kBadRequests, counted_malformed,
                 server->MalformedRequests());
@@ -301,14 +299,6 @@
     return reply.SerializeAsString();
   }
 
-  // On the log's thread.
-  void OnStoredRoutes(const StoredRoutes& stored) {
-    std::lock_guard lock(mutex);
-    if (stored.version > routes.version) {
-      routes = stored;
-    }
-  }
-
   // Frames from other nodes; handled on the peer thread.
 
   void OnFrame(const peer::PeerFrame& frame) {
@@ -379,13 +369,7 @@
     if (now - started_at >= kEntryNodeDiscoveryTime) {
       entry_nodes.AnswerPoll(poll, reply);
     }
-    {
-      std::lock_guard lock(mutex);
-      if (routes.version > poll.routes_version()) {
-        reply.mutable_routes()->set_version(routes.version);
-        reply.mutable_routes()->set_compressed_text(routes.compressed_text);
-      }
-    }
+    route_updates.AnswerPoll(poll, reply);
     socket->Reply({frame.sender, frame.incarnation},
                   peer::FrameKind::kEntryPollReply, reply.SerializeAsString());
   }
@@ -519,7 +503,6 @@
 
   std::mutex mutex;
   // Guarded by `mutex`.
-  StoredRoutes routes;
   bool stopping = false;
   bool leaving = false;
   bool hello_now = false;
@@ -545,6 +528,7 @@
   transport::IoThread io;
   ControlPeers peers;
   EntryNodeLists entry_nodes;
+  RouteUpdates route_updates;
   claims::SharedCrashHistory crash_history;
   std::optional<peer::PeerSocket> socket;
   Registry registry;
--- a/libs/entry/src/control_poller.cc
+++ b/libs/entry/src/control_poller.cc
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "connection_plan.h"
+#include "followed_routes.h"
 #include "gooseberryrock/base/clock.h"
 #include "gooseberryrock/claims/shared_crash_history.h"
 #include "gooseberryrock/directory/directory_exchange.h"
@@ -25,7 +26,6 @@
 #include "gooseberryrock/proto/convert_directory.h"
 #include "gooseberryrock/proto/convert_node_list.h"
 #include "gooseberryrock/proto/malformed_message_error.h"
-#include "gooseberryrock/routes/compressed_text.h"
 #include "gooseberryrock/routes/route_error.h"
 #include "gooseberryrock/telemetry/log_event.h"
 #include "peer.pb.h"
@@ -216,7 +216,8 @@
     vm.polled_at = now;
     proto::EntryPoll poll;
     poll.set_failure_domain(settings.failure_domain.value);
-    poll.set_routes_version(routes_version);
+    poll.set_routes_version(routes_text.version);
+    poll.set_routes_text_hash(routes_text.hash);
     proto::SetKnownNodeList(entry_nodes, poll);
     poll.set_without_directory(!with_directory);
     poll.set_sent_us(ToMicroseconds(now));
@@ -251,10 +252,11 @@
       return;
     }
     source = node;
-    telemetry::LogEvent(node.empty() ? LogLevel::kWarning : LogLevel::kInfo,
-                        node.empty() ? "control_lost" : "control_followed",
-                        {{"control_vm", node.value},
-                         {"routes_version", std::to_string(routes_version)}});
+    telemetry::LogEvent(
+        node.empty() ? LogLevel::kWarning : LogLevel::kInfo,
+        node.empty() ? "control_lost" : "control_followed",
+        {{"control_vm", node.value},
+         {"routes_version", std::to_string(routes_text.version)}});
   }
 
   void OnFrame(const peer::PeerFrame& frame) {
@@ -293,9 +295,7 @@
       others.push_back({it});
     }
     AddControlVms(others);
-    if (reply.has_routes()) {
-      OnRoutes(reply.routes());
-    }
+    OnRoutes(reply);
     if (reply.confirmed_version() > 0) {
       events.on_confirmation(ReadConfirmation(reply));
     }
@@ -382,36 +382,57 @@
     return plan;
   }
 
-  void OnRoutes(const proto::RouteDocument& document) {
+  void OnRoutes(const proto::EntryPollReply& reply) {
+    const uint64_t version = RoutesVersion(reply);
+    FollowedText followed;
     {
       std::lock_guard lock(mutex);
-      if (document.version() <= routes_version) {
+      if (version <= routes_text.version) {
         return;
       }
+      followed = routes_text;
+    }
+    try {
+      followed = ReadText(followed, reply);
+    } catch (const routes::RouteError& e) {
+      OnTextRefused(version, e);
+      return;
     }
     try {
       auto table = std::make_shared<const routes::RouteTable>(
-          routes::BuildRouteTable(codec.parse_routes(
-              routes::DecompressText(document.compressed_text()))));
+          routes::BuildRouteTable(codec.parse_routes(followed.text)));
       {
         std::lock_guard lock(mutex);
-        routes_version = document.version();
+        routes_text = std::move(followed);
       }
       telemetry::LogEvent(
           LogLevel::kInfo, "routes_in_force",
-          {{"version", std::to_string(document.version())},
+          {{"version", std::to_string(version)},
            {"routes", std::to_string(table->set.routes.size())}});
       events.on_routes(std::move(table));
     } catch (const routes::RouteError& e) {
       // The control VMs validate routes before they accept them, so this node
       // runs a release with stricter validation. The current routes stay in
       // force.
-      telemetry::LogEvent(LogLevel::kError, "routes_refused",
-                          {{"version", std::to_string(document.version())},
-                           {"error", e.what()}});
+      telemetry::LogEvent(
+          LogLevel::kError, "routes_refused",
+          {{"version", std::to_string(version)}, {"error", e.what()}});
     }
   }
 
+  // Requests the whole text with the next poll.
+  void OnTextRefused(uint64_t version, const routes::RouteError& error) {
+    telemetry::LogEvent(
+        LogLevel::kError, "routes_text_refused",
+        {{"version", std::to_string(version)}, {"error", error.what()}});
+    std::lock_guard lock(mutex);
+    // Only once, so that a damaged whole text is not requested at the rate of
+    // the replies.
+    poll_now = poll_now || routes_text.hash != 0;
+    routes_text.hash = 0;
+    changed.notify_all();
+  }
+
   const EntrySettings settings;
   const EntryCodec& codec;
   claims::SharedCrashHistory& crash_history;
@@ -421,7 +442,8 @@
   // Guarded by `mutex`.
   std::map<NodeId, ControlVm> vms;
   NodeId source;
-  uint64_t routes_version = 0;
+  // Of the routes in force.
+  FollowedText routes_text;
   bool has_directory = false;
   bool stopping = false;
   // The failure domain of a control VM became known during startup, or a reply
@@ -456,14 +478,14 @@
 
 bool ControlPoller::IsReady() const {
   std::lock_guard lock(impl_->mutex);
-  return impl_->routes_version > 0 && impl_->has_directory;
+  return impl_->routes_text.version > 0 && impl_->has_directory;
 }
 
 ControlPollerStatus ControlPoller::Status() const {
   ControlPollerStatus status;
   status.frames = impl_->socket.Stats();
   std::lock_guard lock(impl_->mutex);
-  status.routes_version = impl_->routes_version;
+  status.routes_version = impl_->routes_text.version;
   for (const auto& [node, vm] : impl_->vms) {
     status.replied_at = std::max(status.replied_at, vm.replied_at);
   }
