--- a/tests/control/control_cost_bench.cc
+++ b/tests/control/control_cost_bench.cc
@@ -9,6 +9,8 @@
 // poll one of them, four times a second. A restart lasts longer than the
 // control VMs keep a silent node listed, so that it changes the list twice.
 
+#include <malloc.h>
+
 #include <array>
 #include <chrono>
 #include <cmath>
@@ -42,6 +44,10 @@
 constexpr size_t kSmallest = 30;
 // Goal for the growth of traffic with the number of nodes.
 constexpr double kPower = 1.1;
+// Goal for the control traffic of a node, and the share of it that the list may
+// take without changes; the directory alone takes a third.
+constexpr double kNodeBytesPerSecond = 6000;
+constexpr double kListShare = 0.1;
 // Versions and counts take a few more bytes in larger deployments.
 constexpr double kNumberBytes = 16;
 
@@ -187,6 +193,8 @@
   results.PrintGrowth("first_poll", nodes, first.bytes, "bytes", 1);
   results.PrintGrowth("steady_poll", nodes, poll.bytes, "bytes", 0);
   results.Print("steady_poll", nodes, poll.operations, "operations", 0);
+  results.Print("steady_node", nodes, kPollsPerSecond * poll.bytes,
+                "bytes_per_second", kListShare * kNodeBytesPerSecond);
   results.PrintGrowth("steady_hello", nodes, hello.bytes, "bytes", 0);
   results.Print("steady_hello", nodes, hello.operations, "operations", 0);
   const double polls = kPollsPerSecond * static_cast<double>(nodes) / kDomains;
@@ -204,6 +212,11 @@
     }
   });
   results.Print("steady_poll", nodes, us / kRepeats, "us", std::nullopt);
+  const size_t before = mallinfo2().uordblks;
+  const Fleet other(nodes);
+  results.Print("lists_of_vm", nodes,
+                static_cast<double>(mallinfo2().uordblks - before) / kDomains,
+                "bytes", std::nullopt);
 }
 
 // The nodes restart one after the other. Each node sees the same replies, so
@@ -272,10 +285,13 @@
   results.Print(name, 1, us, "us_per_version", std::nullopt);
 }
 
-int Run() {
+int Run(size_t largest) {
   Results results;
   for (const size_t nodes :
-       {kSmallest, size_t{100}, size_t{300}, size_t{1000}}) {
+       {kSmallest, size_t{100}, size_t{300}, size_t{1000}, size_t{2300}}) {
+    if (nodes > largest) {
+      break;
+    }
     MeasureSteady(nodes, results);
     MeasureRestarts(nodes, 1, "restart_of_one", 0, results);
     MeasureRestarts(nodes, nodes, "restart_of_all", kPower, results);
@@ -294,6 +310,6 @@
 }  // namespace
 }  // namespace gooseberryrock::control
 
-int main() {
-  return gooseberryrock::control::Run();
+int main(int argc, char** argv) {
+  return gooseberryrock::control::Run(argc > 1 ? std::stoul(argv[1]) : 1000);
 }
--- a/tests/control/entry_node_lists_test.cc
+++ b/tests/control/entry_node_lists_test.cc
@@ -176,5 +176,41 @@
   EXPECT_EQ(a.lists.Count(), 1U);
 }
 
+// Guards against wrong plans while entry nodes and control VMs of two releases
+// run: an earlier node names only the digest of its last reply.
+TEST(EntryNodeListsTest, EntryNodeOfAnEarlierRelease) {
+  Vm a("a", 11);
+  a.lists.OnPoll(Node(1), {"x"}, kStart);
+  proto::EntryPoll poll;
+  proto::EntryPollReply reply;
+  a.lists.AnswerPoll(poll, reply);
+  EXPECT_EQ(reply.entry_nodes_size(), 1);
+  poll.set_entry_nodes_digest(reply.entry_nodes_digest());
+  reply.Clear();
+  a.lists.AnswerPoll(poll, reply);
+  EXPECT_EQ(reply.entry_nodes_size(), 0);
+  a.lists.OnPoll(Node(2), {"x"}, kStart);
+  reply.Clear();
+  a.lists.AnswerPoll(poll, reply);
+  ASSERT_EQ(reply.entry_nodes_size(), 1);
+  EXPECT_EQ(reply.entry_nodes(0).nodes_size(), 2);
+}
+
+// Guards against a node that ignores the lists of an earlier control VM, whose
+// digests are of another kind, or takes an empty reply for an empty list.
+TEST(EntryNodeListsTest, ReplyOfAnEarlierRelease) {
+  proto::EntryPollReply reply;
+  EXPECT_FALSE(proto::ReadNodeListUpdate(reply));
+  reply.set_entry_nodes_digest(99);
+  EXPECT_FALSE(proto::ReadNodeListUpdate(reply));
+  auto& nodes = *reply.add_entry_nodes();
+  nodes.set_failure_domain("x");
+  nodes.add_nodes("node-1");
+  node_list::FollowedNodeList followed;
+  EXPECT_EQ(ApplyUpdate(followed, *proto::ReadNodeListUpdate(reply), 11),
+            node_list::UpdateResult::kChanged);
+  EXPECT_EQ(followed.list.size, 1U);
+}
+
 }  // namespace
 }  // namespace gooseberryrock::control
