--- a/libs/entry/src/control_poller.cc
+++ b/libs/entry/src/control_poller.cc
@@ -408,7 +408,8 @@
       telemetry::LogEvent(
           LogLevel::kInfo, "routes_in_force",
           {{"version", std::to_string(version)},
-           {"routes", std::to_string(table->set.routes.size())}});
+           {"routes", std::to_string(table->set.routes.size())},
+           {"sent_as", reply.has_route_difference() ? "difference" : "whole"}});
       events.on_routes(std::move(table));
     } catch (const routes::RouteError& e) {
       // The control VMs validate routes before they accept them, so this node
