--- a/libs/entry/src/control_poller.cc
+++ b/libs/entry/src/control_poller.cc
@@ -11,18 +11,21 @@
 #include <thread>
 #include <utility>
 
+#include "connection_plan.h"
+#include "followed_routes.h"
 #include "gooseberryrock/base/clock.h"
 #include "gooseberryrock/claims/shared_crash_history.h"
 #include "gooseberryrock/directory/directory_exchange.h"
 #include "gooseberryrock/entry/known_servers.h"
+#include "gooseberryrock/node_list/followed_node_list.h"
 #include "gooseberryrock/peer/frame.h"
 #include "gooseberryrock/peer/incarnation.h"
 #include "gooseberryrock/peer/peer_socket.h"
 #include "gooseberryrock/proto/binary_codec.h"
 #include "gooseberryrock/proto/convert_claims.h"
 #include "gooseberryrock/proto/convert_directory.h"
+#include "gooseberryrock/proto/convert_node_list.h"
 #include "gooseberryrock/proto/malformed_message_error.h"
-#include "gooseberryrock/routes/compressed_text.h"
 #include "gooseberryrock/routes/route_error.h"
 #include "gooseberryrock/telemetry/log_event.h"
 #include "peer.pb.h"
@@ -58,6 +61,8 @@
   // did.
   uint64_t incarnation = 0;
   uint64_t directory_count = 0;
+  // Its last reply left out records that the next one contains.
+  bool has_more_records = false;
   // The process that the crash records were exchanged with; 0 if there is none.
   uint64_t crashes_incarnation = 0;
   // Change of its crash records up to which this node has them.
@@ -194,7 +199,8 @@
       const NodeId& node = others[next_other++ % others.size()];
       ControlVm& vm = vms[node];
       const bool with_directory =
-          vm.incarnation == 0 && known < kInitialDirectories;
+          vm.has_more_records ||
+          (vm.incarnation == 0 && known < kInitialDirectories);
       known += with_directory ? 1 : 0;
       SendPoll(node, vm, with_directory, now);
     }
@@ -210,8 +216,9 @@
     vm.polled_at = now;
     proto::EntryPoll poll;
     poll.set_failure_domain(settings.failure_domain.value);
-    poll.set_routes_version(routes_version);
-    poll.set_entry_nodes_digest(entry_nodes_digest);
+    poll.set_routes_version(routes_text.version);
+    poll.set_routes_text_hash(routes_text.hash);
+    proto::SetKnownNodeList(entry_nodes, poll);
     poll.set_without_directory(!with_directory);
     poll.set_sent_us(ToMicroseconds(now));
     if (with_directory) {
@@ -245,10 +252,11 @@
       return;
     }
     source = node;
-    telemetry::LogEvent(node.empty() ? LogLevel::kWarning : LogLevel::kInfo,
-                        node.empty() ? "control_lost" : "control_followed",
-                        {{"control_vm", node.value},
-                         {"routes_version", std::to_string(routes_version)}});
+    telemetry::LogEvent(
+        node.empty() ? LogLevel::kWarning : LogLevel::kInfo,
+        node.empty() ? "control_lost" : "control_followed",
+        {{"control_vm", node.value},
+         {"routes_version", std::to_string(routes_text.version)}});
   }
 
   void OnFrame(const peer::PeerFrame& frame) {
@@ -287,16 +295,15 @@
       others.push_back({it});
     }
     AddControlVms(others);
-    if (reply.has_routes()) {
-      OnRoutes(reply.routes());
-    }
+    OnRoutes(reply);
     if (reply.confirmed_version() > 0) {
       events.on_confirmation(ReadConfirmation(reply));
     }
     crash_history.MergeNotices(proto::ReadCrashNotices(reply.crashes()),
                                BootTime());
     std::vector<ServerChange> changes;
-    std::optional<ConnectionPlan> plan = PlanOf(reply);
+    const auto update = proto::ReadNodeListUpdate(reply);
+    std::optional<ConnectionPlan> plan;
     {
       std::lock_guard lock(mutex);
       ControlVm& vm = vms[frame.sender];
@@ -318,15 +325,15 @@
         vm.directory_count = reply.directory_count();
         changes = MergeRecords(known_servers, records, *vm.replied_at);
         Remember(frame.sender, reply, *vm.replied_at, changes);
-        has_directory = true;
-      }
-      if (plan) {
-        entry_nodes_digest = reply.entry_nodes_digest();
+        vm.has_more_records = reply.more_records();
+        has_directory = has_directory || !vm.has_more_records;
+        if (vm.has_more_records) {
+          poll_now = true;
+          changed.notify_all();
+        }
       }
-      if (plan && *plan == last_plan) {
-        plan.reset();
-      } else if (plan) {
-        last_plan = *plan;
+      if (update) {
+        plan = FollowEntryNodes(frame, *update);
       }
     }
     if (plan) {
@@ -353,61 +360,80 @@
     }
   }
 
-  // Returns nullopt if the control VMs do not know this node yet.
-  std::optional<ConnectionPlan> PlanOf(
-      const proto::EntryPollReply& reply) const {
-    ConnectionPlan plan;
-    plan.place.domain = settings.failure_domain;
-    plan.self = settings.node;
-    bool found = false;
-    for (const proto::EntryNodes& it : reply.entry_nodes()) {
-      plan.reservation[{it.failure_domain()}] =
-          static_cast<uint32_t>(it.nodes_size());
-      std::vector<NodeId>& nodes = plan.nodes[{it.failure_domain()}];
-      for (const std::string& node : it.nodes()) {
-        nodes.push_back({node});
-      }
-      const auto self =
-          std::find(it.nodes().begin(), it.nodes().end(), settings.node.value);
-      if (it.failure_domain() == settings.failure_domain.value &&
-          self != it.nodes().end()) {
-        plan.place.position = static_cast<uint32_t>(self - it.nodes().begin());
-        found = true;
-      }
+  // Returns the new plan if it changed. Requires `mutex`.
+  std::optional<ConnectionPlan> FollowEntryNodes(
+      const peer::PeerFrame& frame,
+      const node_list::NodeListUpdate& update) {
+    const auto result = ApplyUpdate(entry_nodes, update, frame.incarnation);
+    if (result == node_list::UpdateResult::kRefused) {
+      telemetry::LogEvent(LogLevel::kWarning, "entry_nodes_refused",
+                          {{"control_vm", frame.sender.value},
+                           {"version", std::to_string(update.to)}});
     }
-    return found ? std::optional(std::move(plan)) : std::nullopt;
+    if (result != node_list::UpdateResult::kChanged) {
+      return std::nullopt;
+    }
+    auto plan = MakeConnectionPlan(entry_nodes.list, settings.node,
+                                   settings.failure_domain);
+    if (!plan || *plan == last_plan) {
+      return std::nullopt;
+    }
+    last_plan = *plan;
+    return plan;
   }
 
-  void OnRoutes(const proto::RouteDocument& document) {
+  void OnRoutes(const proto::EntryPollReply& reply) {
+    const uint64_t version = RoutesVersion(reply);
+    FollowedText followed;
     {
       std::lock_guard lock(mutex);
-      if (document.version() <= routes_version) {
+      if (version <= routes_text.version) {
         return;
       }
+      followed = routes_text;
+    }
+    try {
+      followed = ReadText(followed, reply);
+    } catch (const routes::RouteError& e) {
+      OnTextRefused(version, e);
+      return;
     }
     try {
       auto table = std::make_shared<const routes::RouteTable>(
-          routes::BuildRouteTable(codec.parse_routes(
-              routes::DecompressText(document.compressed_text()))));
+          routes::BuildRouteTable(codec.parse_routes(followed.text)));
       {
         std::lock_guard lock(mutex);
-        routes_version = document.version();
+        routes_text = std::move(followed);
       }
       telemetry::LogEvent(
           LogLevel::kInfo, "routes_in_force",
-          {{"version", std::to_string(document.version())},
-           {"routes", std::to_string(table->set.routes.size())}});
+          {{"version", std::to_string(version)},
+           {"routes", std::to_string(table->set.routes.size())},
+           {"sent_as", reply.has_route_difference() ? "difference" : "whole"}});
       events.on_routes(std::move(table));
     } catch (const routes::RouteError& e) {
       // The control VMs validate routes before they accept them, so this node
       // runs a release with stricter validation. The current routes stay in
       // force.
-      telemetry::LogEvent(LogLevel::kError, "routes_refused",
-                          {{"version", std::to_string(document.version())},
-                           {"error", e.what()}});
+      telemetry::LogEvent(
+          LogLevel::kError, "routes_refused",
+          {{"version", std::to_string(version)}, {"error", e.what()}});
     }
   }
 
+  // Requests the whole text with the next poll.
+  void OnTextRefused(uint64_t version, const routes::RouteError& error) {
+    telemetry::LogEvent(
+        LogLevel::kError, "routes_text_refused",
+        {{"version", std::to_string(version)}, {"error", error.what()}});
+    std::lock_guard lock(mutex);
+    // Only once, so that a damaged whole text is not requested at the rate of
+    // the replies.
+    poll_now = poll_now || routes_text.hash != 0;
+    routes_text.hash = 0;
+    changed.notify_all();
+  }
+
   const EntrySettings settings;
   const EntryCodec& codec;
   claims::SharedCrashHistory& crash_history;
@@ -417,15 +443,17 @@
   // Guarded by `mutex`.
   std::map<NodeId, ControlVm> vms;
   NodeId source;
-  uint64_t routes_version = 0;
+  // Of the routes in force.
+  FollowedText routes_text;
   bool has_directory = false;
   bool stopping = false;
-  // The failure domain of a control VM became known during startup.
+  // The failure domain of a control VM became known during startup, or a reply
+  // left out records.
   bool poll_now = false;
   KnownServers known_servers;
   ConnectionPlan last_plan;
-  // Digest of the node list that `last_plan` was computed from.
-  uint64_t entry_nodes_digest = 0;
+  // `last_plan` was computed from the last list that contained this node.
+  node_list::FollowedNodeList entry_nodes;
   // Counter for polling control VMs of other failure domains in turn.
   size_t next_other = 0;
   std::condition_variable changed;
@@ -451,14 +479,14 @@
 
 bool ControlPoller::IsReady() const {
   std::lock_guard lock(impl_->mutex);
-  return impl_->routes_version > 0 && impl_->has_directory;
+  return impl_->routes_text.version > 0 && impl_->has_directory;
 }
 
 ControlPollerStatus ControlPoller::Status() const {
   ControlPollerStatus status;
   status.frames = impl_->socket.Stats();
   std::lock_guard lock(impl_->mutex);
-  status.routes_version = impl_->routes_version;
+  status.routes_version = impl_->routes_text.version;
   for (const auto& [node, vm] : impl_->vms) {
     status.replied_at = std::max(status.replied_at, vm.replied_at);
   }
