entry, control: enforce the allotments of organisations

Polls carry what a node counted and bring the fraction to admit; control VMs send each other their totals. Requests beyond the allotment are answered with 429 and a retry time before any work is sent.

Process tests not run yet.

--- a/apps/node/tier_commands.cc
+++ b/apps/node/tier_commands.cc
@@ -61,6 +61,11 @@
   return {address.host, address.port};
 }
 
+allotments::AllotmentPolicy AllotmentPolicyOf(const TierSettings& settings) {
+  return {settings.allotment_window, settings.allotment_overage,
+          settings.allotment_slack};
+}
+
 std::filesystem::file_time_type ModificationTime(const std::string& path) {
   std::error_code ec;
   const auto time = std::filesystem::last_write_time(path, ec);
@@ -163,6 +168,7 @@
       (size_t{settings.memory_mb} << 20U) / kReplyMemoryDivisor;
   entry.extra_attempts = {settings.extra_attempt_share, settings.extra_attempts,
                           settings.extra_attempt_window};
+  entry.allotments = AllotmentPolicyOf(settings);
   entry.stop_time = settings.stop_time;
   const settings::TierIntervals intervals =
       settings::MakeTierIntervals(settings);
@@ -193,6 +199,7 @@
   control.data_folder = settings.data_folder;
   control.endpoint = ToEndpoint(settings.control_address);
   control.metrics_endpoint = ToEndpoint(settings.metrics_address);
+  control.allotments = AllotmentPolicyOf(settings);
   control.tolerated_losses = settings.tolerated_losses;
   control.replacement_time = settings.replacement_time;
   const settings::TierIntervals intervals =
--- a/libs/allotments/src/allotment_ledger.cc
+++ b/libs/allotments/src/allotment_ledger.cc
@@ -307,6 +307,10 @@
                uint64_t version,
                SteadyTime now) {
   ledger.limits_version = version;
+  if (!IsActive(ledger)) {
+    // Advance() was not called while there were no limits.
+    ledger.advanced_at = now;
+  }
   std::erase_if(ledger.organisations, [&](const auto& it) {
     return !limits.contains(it.first);
   });
--- a/libs/control/include/gooseberryrock/control/control_settings.h
+++ b/libs/control/include/gooseberryrock/control/control_settings.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "gooseberryrock/allotments/allotment_policy.h"
 #include "gooseberryrock/base/ids.h"
 #include "gooseberryrock/base/time.h"
 #include "gooseberryrock/transport/endpoint.h"
@@ -43,6 +44,7 @@
   // Interval at which the leader is asked for the newest version of the routes;
   // zero if entry nodes do not depend on it.
   Duration route_confirmation_interval = Duration::zero();
+  allotments::AllotmentPolicy allotments;
   Duration peer_heartbeat_interval = std::chrono::milliseconds(500);
   Duration peer_heartbeat_timeout = std::chrono::milliseconds(1500);
   // Time for calls in progress, and for the handover of the vote, when the VM
--- a/libs/control/src/control_node.cc
+++ b/libs/control/src/control_node.cc
@@ -13,6 +13,7 @@
 #include <variant>
 #include <vector>
 
+#include "allotment_exchange.h"
 #include "control_peers.h"
 #include "gooseberryrock/base/clock.h"
 #include "gooseberryrock/base/hash.h"
@@ -132,6 +133,7 @@
     socket.emplace(SocketOptions(settings, incarnation),
                    [this](const peer::PeerFrame& it) { OnFrame(it); });
     AddControlVms(settings.control_vms);
+    allotments.emplace(settings.allotments, codec, AllotmentConnections());
     LoadRememberedServers();
     log.emplace(LogOptions(settings),
                 MakeStateMachine(
@@ -182,6 +184,7 @@
     changed.notify_all();
     maintenance.join();
     route_confirmer.reset();
+    allotments->Stop();
     io.Stop();
     workers.reset();
     {
@@ -272,11 +275,8 @@
              static_cast<double>(servers.draining));
     SetGauge(metrics, Gauge::kPeersReachable,
              static_cast<double>(peers.CountPresent(now)));
-    size_t entry_nodes = 0;
-    for (const auto& [domain, nodes] : peers.AllEntryNodes(now)) {
-      entry_nodes += nodes.size();
-    }
-    SetGauge(metrics, Gauge::kEntryNodes, static_cast<double>(entry_nodes));
+    SetGauge(metrics, Gauge::kEntryNodes,
+             static_cast<double>(CountEntryNodes(now)));
     {
       std::lock_guard lock(mutex);
       SetGauge(metrics, Gauge::kRoutesVersion,
@@ -289,6 +289,23 @@
     counted_frames = stats;
   }
 
+  size_t CountEntryNodes(SteadyTime now) const {
+    size_t n = 0;
+    for (const auto& [domain, nodes] : peers.AllEntryNodes(now)) {
+      n += nodes.size();
+    }
+    return n;
+  }
+
+  AllotmentExchange::Connections AllotmentConnections() {
+    return {[this](const std::string& totals) {
+              for (const NodeId& it : peers.Vms()) {
+                socket->Send(it, peer::FrameKind::kAllotmentTotals, totals);
+              }
+            },
+            [this] { return CountEntryNodes(BootTime()); }};
+  }
+
   // The replicated log.
 
   // On the log's thread, which owns `state`.
@@ -308,6 +325,7 @@
     std::lock_guard lock(mutex);
     if (stored.version > routes.version) {
       routes = stored;
+      allotments->SetRoutes(stored);
     }
   }
 
@@ -337,6 +355,9 @@
       case peer::FrameKind::kControlHello:
         OnHello(frame, now);
         break;
+      case peer::FrameKind::kAllotmentTotals:
+        allotments->OnTotals(frame, now);
+        break;
       case peer::FrameKind::kEntryPoll:
         OnEntryPoll(frame, now);
         break;
@@ -379,6 +400,7 @@
     registry.AnswerPoll(poll, reply, now);
     ExchangeCrashes(poll, reply, now);
     route_confirmer->AnswerPoll(poll, reply, now);
+    allotments->AnswerPoll(frame, poll, reply, now);
     for (const NodeId& it : peers.Vms()) {
       reply.add_control_vms(it.value);
     }
@@ -579,6 +601,7 @@
   claims::SharedCrashHistory crash_history;
   std::optional<peer::PeerSocket> socket;
   Registry registry;
+  std::optional<AllotmentExchange> allotments;
   std::optional<ReplicatedLog> log;
   std::optional<MemberMaintenance> members;
   std::optional<ControlClient> client;
--- a/libs/entry/include/gooseberryrock/entry/entry_codec.h
+++ b/libs/entry/include/gooseberryrock/entry/entry_codec.h
@@ -41,6 +41,9 @@
   transport::Response (*encode_no_route)();
   // The response to a request without a known key.
   transport::Response (*encode_no_access)();
+  // The response to a request beyond the allotment of its organisation, which
+  // was not run.
+  transport::Response (*encode_over_allotment)(Duration retry_after);
   // Whether the request is a health check of the load balancer.
   bool (*is_ready_check)(const transport::Request& request);
 
--- a/libs/entry/include/gooseberryrock/entry/entry_settings.h
+++ b/libs/entry/include/gooseberryrock/entry/entry_settings.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "gooseberryrock/allotments/allotment_policy.h"
 #include "gooseberryrock/base/ids.h"
 #include "gooseberryrock/base/time.h"
 #include "gooseberryrock/relay/extra_attempt_limit.h"
@@ -38,6 +39,7 @@
   // Memory that replies may take, from the servers to the callers.
   size_t reply_memory_bytes = size_t{40} << 20U;
   relay::ExtraAttemptLimit extra_attempts;
+  allotments::AllotmentPolicy allotments;
   // Polling of control VMs; one that has not replied for the timeout is not
   // relied on.
   Duration poll_interval = std::chrono::milliseconds(250);
--- a/libs/entry/src/control_poller.cc
+++ b/libs/entry/src/control_poller.cc
@@ -11,6 +11,8 @@
 #include <thread>
 #include <utility>
 
+#include "allotment_polls.h"
+#include "gooseberryrock/allotments/shared_node_allotments.h"
 #include "gooseberryrock/base/clock.h"
 #include "gooseberryrock/claims/shared_crash_history.h"
 #include "gooseberryrock/directory/directory_exchange.h"
@@ -99,10 +101,12 @@
   Impl(const EntrySettings& poller_settings,
        const EntryCodec& poller_codec,
        claims::SharedCrashHistory& poller_crash_history,
+       allotments::SharedNodeAllotments& poller_allotments,
        ControlEvents poller_events)
       : settings(poller_settings),
         codec(poller_codec),
         crash_history(poller_crash_history),
+        allotments(poller_allotments),
         events(std::move(poller_events)),
         socket(SocketOptions(settings),
                [this](const peer::PeerFrame& it) { OnFrame(it); }) {
@@ -158,6 +162,7 @@
   void Poll() {
     const SteadyTime now = BootTime();
     CloseUnpolledConnections(now);
+    has_reported = false;
     std::vector<NodeId> others;
     for (auto& [node, vm] : vms) {
       if (vm.domain != settings.failure_domain) {
@@ -226,6 +231,12 @@
     poll.set_crashes_count(crashes.changes);
     poll.set_crashes_incarnation(vm.crashes_incarnation);
     poll.set_crashes_known(vm.crashes_known);
+    // Only one control VM counts the requests; one that does not reply must not
+    // hold them up.
+    if (!has_reported && vm.replied_at &&
+        now - *vm.replied_at < settings.poll_reply_timeout) {
+      has_reported = AddReport(allotments, poll, now);
+    }
     socket.Send(node, peer::FrameKind::kEntryPoll, poll.SerializeAsString());
   }
 
@@ -293,6 +304,7 @@
     if (reply.confirmed_version() > 0) {
       events.on_confirmation(ReadConfirmation(reply));
     }
+    ReadGrant(allotments, reply);
     crash_history.MergeNotices(proto::ReadCrashNotices(reply.crashes()),
                                BootTime());
     std::vector<ServerChange> changes;
@@ -389,10 +401,16 @@
       auto table = std::make_shared<const routes::RouteTable>(
           routes::BuildRouteTable(codec.parse_routes(
               routes::DecompressText(document.compressed_text()))));
+      const allotments::Limits limits =
+          allotments::LimitsOf(table->set.organisations);
+      allotments.SetLimits(limits, BootTime());
       {
         std::lock_guard lock(mutex);
         routes_version = document.version();
+        // New limits need a grant.
+        poll_now = !limits.empty();
       }
+      changed.notify_all();
       telemetry::LogEvent(
           LogLevel::kInfo, "routes_in_force",
           {{"version", std::to_string(document.version())},
@@ -411,6 +429,7 @@
   const EntrySettings settings;
   const EntryCodec& codec;
   claims::SharedCrashHistory& crash_history;
+  allotments::SharedNodeAllotments& allotments;
   const ControlEvents events;
 
   mutable std::mutex mutex;
@@ -420,8 +439,11 @@
   uint64_t routes_version = 0;
   bool has_directory = false;
   bool stopping = false;
-  // The failure domain of a control VM became known during startup.
+  // The failure domain of a control VM became known during startup, or new
+  // limits did.
   bool poll_now = false;
+  // A poll of this round has a report of allotments.
+  bool has_reported = false;
   KnownServers known_servers;
   ConnectionPlan last_plan;
   // Digest of the node list that `last_plan` was computed from.
@@ -437,10 +459,12 @@
 ControlPoller::ControlPoller(const EntrySettings& settings,
                              const EntryCodec& codec,
                              claims::SharedCrashHistory& crash_history,
+                             allotments::SharedNodeAllotments& allotments,
                              ControlEvents events)
     : impl_(std::make_unique<Impl>(settings,
                                    codec,
                                    crash_history,
+                                   allotments,
                                    std::move(events))) {}
 
 ControlPoller::~ControlPoller() = default;
--- a/libs/entry/src/control_poller.h
+++ b/libs/entry/src/control_poller.h
@@ -16,6 +16,10 @@
 #include "gooseberryrock/routes/route_confirmation.h"
 #include "gooseberryrock/routes/route_table.h"
 
+namespace gooseberryrock::allotments {
+class SharedNodeAllotments;
+}  // namespace gooseberryrock::allotments
+
 namespace gooseberryrock::claims {
 class SharedCrashHistory;
 }  // namespace gooseberryrock::claims
@@ -41,10 +45,12 @@
 class ControlPoller {
  public:
   // Events are called on threads of the poller. Throws PeerSocketError if the
-  // peer port cannot be used. Exchanges `crash_history` with the control VMs.
+  // peer port cannot be used. Exchanges `crash_history` and `allotments` with
+  // the control VMs.
   ControlPoller(const EntrySettings& settings,
                 const EntryCodec& codec,
                 claims::SharedCrashHistory& crash_history,
+                allotments::SharedNodeAllotments& allotments,
                 ControlEvents events);
   ControlPoller(const ControlPoller&) = delete;
   ControlPoller& operator=(const ControlPoller&) = delete;
--- a/libs/entry/src/entry_node.cc
+++ b/libs/entry/src/entry_node.cc
@@ -6,11 +6,13 @@
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
+#include <random>
 #include <utility>
 #include <vector>
 
 #include "control_poller.h"
 #include "entry_shard.h"
+#include "gooseberryrock/allotments/shared_node_allotments.h"
 #include "gooseberryrock/base/clock.h"
 #include "gooseberryrock/claims/shared_crash_history.h"
 #include "gooseberryrock/entry/entry_codec.h"
@@ -71,7 +73,9 @@
 
 struct EntryNode::Impl {
   Impl(const EntrySettings& node_settings, const EntryCodec& node_codec)
-      : settings(node_settings), codec(node_codec) {
+      : settings(node_settings),
+        codec(node_codec),
+        allotments(settings.allotments, std::random_device{}()) {
     const unsigned n = std::max(1U, settings.io_shards);
     relay::RelayPolicy policy;
     policy.extra_attempts = settings.extra_attempts;
@@ -90,7 +94,7 @@
           settings.route_confirmation_lifetime,
           EntryShardDependencies{
               [this, i](const ServerNotice& it) { PassOn(it, i); },
-              crash_history, *reply_memory.back(), metrics}));
+              crash_history, allotments, *reply_memory.back(), metrics}));
       ConnectionPlan plan;
       plan.place.domain = settings.failure_domain;
       shards.back()->SetConnectionPlan(std::move(plan));
@@ -109,7 +113,7 @@
           },
           memory);
     }
-    control.emplace(settings, codec, crash_history, Events());
+    control.emplace(settings, codec, crash_history, allotments, Events());
     ready_server.emplace(
         std::vector<transport::IoThread*>{all.front()}, settings.ready_endpoint,
         transport::WebLimits(),
@@ -262,6 +266,7 @@
   uint64_t counted_given_up = 0;
   std::atomic<bool> draining = false;
   claims::SharedCrashHistory crash_history;
+  allotments::SharedNodeAllotments allotments;
   // One for each thread, whose connections use it until they are destroyed.
   std::vector<std::unique_ptr<transport::ReplyMemory>> reply_memory;
   std::vector<std::unique_ptr<transport::IoThread>> threads;
--- a/libs/entry/src/entry_shard.cc
+++ b/libs/entry/src/entry_shard.cc
@@ -8,6 +8,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "allotment_check.h"
 #include "caller_access.h"
 #include "entry_shard_state.h"
 #include "gather_messages.h"
@@ -59,6 +60,7 @@
       shards_(shards),
       on_notice_(std::move(deps.on_notice)),
       crash_history_(deps.crash_history),
+      allotments_(deps.allotments),
       reply_memory_(deps.reply_memory),
       metrics_(deps.metrics),
       random_(std::random_device{}()),
@@ -207,6 +209,10 @@
         {relay::RefusalReason::kNotInTime, Duration::zero()}));
     return;
   }
+  if (!PassesAllotment({allotments_, codec_, metrics_}, *exchange, caller,
+                       *route, access.organisation, now)) {
+    return;
+  }
   const auto crashes = CheckCrashes(exchange->request(), caller, *route, now);
   if (crashes.action == claims::CrashAction::kRefuse) {
     exchange->Respond(codec_.encode_refused(
--- a/libs/entry/src/entry_shard.h
+++ b/libs/entry/src/entry_shard.h
@@ -32,6 +32,10 @@
 #include "gooseberryrock/transport/http_message.h"
 #include "server_notice.h"
 
+namespace gooseberryrock::allotments {
+class SharedNodeAllotments;
+}  // namespace gooseberryrock::allotments
+
 namespace gooseberryrock::claims {
 class SharedCrashHistory;
 }  // namespace gooseberryrock::claims
@@ -78,6 +82,7 @@
   // Passes a notice on to the other I/O shards.
   std::function<void(const ServerNotice&)> on_notice;
   claims::SharedCrashHistory& crash_history;
+  allotments::SharedNodeAllotments& allotments;
   // Of the shard's thread.
   transport::ReplyMemory& reply_memory;
   telemetry::Metrics& metrics;
@@ -274,6 +279,7 @@
   const unsigned shards_;
   const std::function<void(const ServerNotice&)> on_notice_;
   claims::SharedCrashHistory& crash_history_;
+  allotments::SharedNodeAllotments& allotments_;
   transport::ReplyMemory& reply_memory_;
   telemetry::Metrics& metrics_;
 
--- a/libs/peer/include/gooseberryrock/peer/frame_kind.h
+++ b/libs/peer/include/gooseberryrock/peer/frame_kind.h
@@ -23,9 +23,10 @@
   kEntryPoll = 11,
   kEntryPollReply = 12,
   kControlHello = 13,
+  kAllotmentTotals = 20,
 };
 
-inline constexpr uint32_t kMaxFrameKind = 13;
+inline constexpr uint32_t kMaxFrameKind = 20;
 
 }  // namespace gooseberryrock::peer
 
--- a/libs/settings/include/gooseberryrock/settings/tier_settings.h
+++ b/libs/settings/include/gooseberryrock/settings/tier_settings.h
@@ -50,6 +50,11 @@
   double extra_attempt_share = 0.2;
   double extra_attempts = 52;
   Duration extra_attempt_window = std::chrono::seconds(10);
+  // In each window an organisation with an allotment may send
+  // (rate * window + burst) * (1 + overage) + slack requests.
+  Duration allotment_window = std::chrono::seconds(5);
+  double allotment_overage = 0.1;
+  double allotment_slack = 20;
   // Number of simultaneous VM losses that the replicated log must survive.
   uint32_t tolerated_losses = 1;
   // Time after the start of a lost VM's successor, or after the return of a VM,
--- a/libs/settings/src/tier_settings.cc
+++ b/libs/settings/src/tier_settings.cc
@@ -32,6 +32,8 @@
 constexpr double kMaxMilliseconds = 600'000;
 constexpr double kMaxExtraAttemptShare = 1;
 constexpr double kMaxExtraAttempts = 1e6;
+constexpr double kMaxAllotmentOverage = 10;
+constexpr double kMaxAllotmentSlack = 1e6;
 constexpr size_t kMaxControlVms = 64;
 
 Json ParseFile(const std::string& path) {
@@ -186,6 +188,13 @@
       root, "extra_attempts", 0, kMaxExtraAttempts, settings.extra_attempts);
   settings.extra_attempt_window = ReadSeconds(root, "extra_attempt_window_s",
                                               settings.extra_attempt_window);
+  settings.allotment_window =
+      ReadSeconds(root, "allotment_window_s", settings.allotment_window);
+  settings.allotment_overage =
+      ReadNumber(root, "allotment_overage", 0, kMaxAllotmentOverage,
+                 settings.allotment_overage);
+  settings.allotment_slack = ReadNumber(
+      root, "allotment_slack", 0, kMaxAllotmentSlack, settings.allotment_slack);
   settings.stop_time = ReadSeconds(root, "stop_time_s", settings.stop_time);
   if (!problems.empty()) {
     std::string message;
--- a/libs/telemetry/include/gooseberryrock/telemetry/metric_names.h
+++ b/libs/telemetry/include/gooseberryrock/telemetry/metric_names.h
@@ -29,6 +29,8 @@
   kRequestsWithoutRoute,
   kRequestsWithoutAccess,
   kRequestsNotConfirmed,
+  kRequestsWithinAllotment,
+  kRequestsOverAllotment,
   kCallersGone,
   kForeignReplies,
   kServerConnectsFailed,
--- a/libs/telemetry/src/metric_names.cc
+++ b/libs/telemetry/src/metric_names.cc
@@ -42,6 +42,10 @@
     {"gbr_requests_not_confirmed_total",
      "Requests refused because the node did not know whether its configuration "
      "was the newest one."},
+    {"gbr_requests_within_allotment_total",
+     "Requests of organisations with an allotment that were admitted."},
+    {"gbr_requests_over_allotment_total",
+     "Requests refused because their organisation has used its allotment."},
     {"gbr_callers_gone_total",
      "Requests whose caller closed its connection before the answer."},
     {"gbr_foreign_replies_total",
