--- a/libs/control/src/control_node.cc
+++ b/libs/control/src/control_node.cc
@@ -13,6 +13,7 @@
 #include <variant>
 #include <vector>
 
+#include "allotment_exchange.h"
 #include "control_peers.h"
 #include "entry_node_lists.h"
 #include "gooseberryrock/base/clock.h"
@@ -134,15 +135,19 @@
     socket.emplace(SocketOptions(settings, incarnation),
                    [this](const peer::PeerFrame& it) { OnFrame(it); });
     AddControlVms(settings.control_vms);
+    allotments.emplace(settings.allotments, codec, AllotmentConnections());
     LoadRememberedServers();
-    log.emplace(
-        LogOptions(settings),
-        MakeStateMachine(
-            state, [](const auto& /*catalog*/) {},
-            [this](const StoredRoutes& it) { route_updates.OnStored(it); }),
-        [this](const NodeId& to, std::string body) {
-          socket->Send(to, peer::FrameKind::kConsensus, std::move(body));
-        });
+    log.emplace(LogOptions(settings),
+                MakeStateMachine(
+                    state, [](const auto& /*catalog*/) {},
+                    [this](const StoredRoutes& it) {
+                      route_updates.OnStored(it);
+                      allotments->SetRoutes(it);
+                    }),
+                [this](const NodeId& to, std::string body) {
+                  socket->Send(to, peer::FrameKind::kConsensus,
+                               std::move(body));
+                });
     members.emplace(settings.node, settings.tolerated_losses, policy, peers,
                     *log, started_at);
     client.emplace(
@@ -184,6 +189,7 @@
     changed.notify_all();
     maintenance.join();
     route_confirmer.reset();
+    allotments->Stop();
     io.Stop();
     workers.reset();
     {
@@ -285,6 +291,15 @@
     counted_frames = stats;
   }
 
+  AllotmentExchange::Connections AllotmentConnections() {
+    return {[this](const std::string& totals) {
+              for (const NodeId& it : peers.Vms()) {
+                socket->Send(it, peer::FrameKind::kAllotmentTotals, totals);
+              }
+            },
+            [this] { return entry_nodes.Count(); }};
+  }
+
   // The replicated log.
 
   // On the log's thread, which owns `state`.
@@ -325,6 +340,9 @@
       case peer::FrameKind::kControlHello:
         OnHello(frame, now);
         break;
+      case peer::FrameKind::kAllotmentTotals:
+        allotments->OnTotals(frame, now);
+        break;
       case peer::FrameKind::kEntryPoll:
         OnEntryPoll(frame, now);
         break;
@@ -363,6 +381,7 @@
     registry.AnswerPoll(poll, reply, now);
     ExchangeCrashes(poll, reply, now);
     route_confirmer->AnswerPoll(poll, reply, now);
+    allotments->AnswerPoll(frame, poll, reply, now);
     for (const NodeId& it : peers.Vms()) {
       reply.add_control_vms(it.value);
     }
@@ -532,6 +551,7 @@
   claims::SharedCrashHistory crash_history;
   std::optional<peer::PeerSocket> socket;
   Registry registry;
+  std::optional<AllotmentExchange> allotments;
   std::optional<ReplicatedLog> log;
   std::optional<MemberMaintenance> members;
   std::optional<ControlClient> client;
