control: give back the shares of nodes that poll another control VM

An organisation whose callers all used the nodes of a lost control VM kept only a twentieth of its rate for 10 s.

--- a/libs/allotments/include/gooseberryrock/allotments/allotment_ledger.h
+++ b/libs/allotments/include/gooseberryrock/allotments/allotment_ledger.h
@@ -40,6 +40,8 @@
   bool is_silent = false;
   // Other control VM: its counts of all organisations are known.
   bool is_complete = false;
+  // Other control VM: part of its nodes that other VMs hear of meanwhile.
+  double moved = 0;
   std::map<OrganisationHash, SourceCounts> organisations;
 };
 
@@ -94,6 +96,11 @@
 inline constexpr Duration kLedgerInterval = std::chrono::milliseconds(125);
 void Advance(AllotmentLedger& ledger, SteadyTime now);
 
+// `moved` is the part of the nodes of each silent control VM that others hear
+// of. They spend their shares there.
+void SetMovedNodes(AllotmentLedger& ledger,
+                   const std::map<NodeId, double>& moved);
+
 void OnReport(AllotmentLedger& ledger,
               const NodeId& node,
               uint64_t incarnation,
--- a/libs/allotments/src/allotment_ledger.cc
+++ b/libs/allotments/src/allotment_ledger.cc
@@ -198,14 +198,18 @@
 
 void SetAvailable(AllotmentLedger& ledger,
                   OrganisationBudget& budget,
-                  double available) {
+                  double available,
+                  bool returns_tokens) {
   budget.available = std::clamp(available, kMinAvailable, 1.0);
   const BucketSize full = SizeOf(budget.limit, ledger.policy);
   const double size = full.burst * budget.available +
                       std::max(full.spare * budget.available,
                                std::min(full.spare, kMinSpare));
   // The part of the others is theirs from the start of the silence.
-  budget.tokens -= std::max(0.0, budget.size - size);
+  const double change = size - budget.size;
+  if (change < 0 || returns_tokens) {
+    budget.tokens += change;
+  }
   budget.size = size;
 }
 
@@ -216,10 +220,13 @@
     return now - it.second.heard_at >= kControlVmLifetime;
   });
   std::map<OrganisationHash, double> kept;
+  bool have_moved = false;
   for (auto& [node, source] : ledger.control_vms) {
     const bool was_silent = source.is_silent;
     source.is_silent = now - source.heard_at >= kControlVmSilence;
-    const double factor = SilenceFactor(source, kShareHoldSeconds, now);
+    have_moved = have_moved || (source.is_silent && source.moved > 0);
+    const double factor =
+        SilenceFactor(source, kShareHoldSeconds, now) * (1 - source.moved);
     for (auto& [hash, counts] : source.organisations) {
       const auto it = ledger.organisations.find(hash);
       if (it == ledger.organisations.end()) {
@@ -245,7 +252,8 @@
   for (auto& [hash, budget] : ledger.organisations) {
     Refill(budget, now);
     const auto it = kept.find(hash);
-    SetAvailable(ledger, budget, 1 - (it == kept.end() ? 0 : it->second));
+    SetAvailable(ledger, budget, 1 - (it == kept.end() ? 0 : it->second),
+                 have_moved);
   }
 }
 
@@ -331,7 +339,8 @@
       // What was saved under the earlier limit does not count as spare.
       budget.tokens = std::clamp(budget.tokens, -MaxDebt(ledger, budget),
                                  std::max(limit.burst, 1.0));
-      SetAvailable(ledger, budget, budget.available);
+      SetAvailable(ledger, budget, budget.available,
+                   /*returns_tokens=*/false);
     }
   }
 }
@@ -352,6 +361,14 @@
   KeepSharesOfSilentVms(ledger, seconds, now);
 }
 
+void SetMovedNodes(AllotmentLedger& ledger,
+                   const std::map<NodeId, double>& moved) {
+  for (auto& [node, source] : ledger.control_vms) {
+    const auto it = moved.find(node);
+    source.moved = it == moved.end() ? 0 : std::clamp(it->second, 0.0, 1.0);
+  }
+}
+
 void OnReport(AllotmentLedger& ledger,
               const NodeId& node,
               uint64_t incarnation,
--- a/libs/control/src/allotment_exchange.cc
+++ b/libs/control/src/allotment_exchange.cc
@@ -117,8 +117,10 @@
   lock.unlock();
   connections_.send_totals(totals);
   const size_t nodes = connections_.count_entry_nodes();
+  const auto moved = connections_.find_moved_nodes();
   lock.lock();
   ledger_.entry_nodes = nodes;
+  SetMovedNodes(ledger_, moved);
 }
 
 void AllotmentExchange::AnswerPoll(const peer::PeerFrame& frame,
--- a/libs/control/src/allotment_exchange.h
+++ b/libs/control/src/allotment_exchange.h
@@ -6,12 +6,14 @@
 #include <condition_variable>
 #include <cstddef>
 #include <functional>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <string>
 #include <thread>
 
 #include "gooseberryrock/allotments/allotment_ledger.h"
+#include "gooseberryrock/base/ids.h"
 #include "gooseberryrock/base/time.h"
 #include "gooseberryrock/control/control_machine.h"
 
@@ -35,6 +37,8 @@
     // Sends encoded totals to all other control VMs.
     std::function<void(std::string totals)> send_totals;
     std::function<size_t()> count_entry_nodes;
+    // The part of the nodes of each silent control VM that others hear of.
+    std::function<std::map<NodeId, double>()> find_moved_nodes;
   };
 
   AllotmentExchange(const allotments::AllotmentPolicy& policy,
--- a/libs/control/src/control_node.cc
+++ b/libs/control/src/control_node.cc
@@ -303,7 +303,8 @@
                 socket->Send(it, peer::FrameKind::kAllotmentTotals, totals);
               }
             },
-            [this] { return CountEntryNodes(BootTime()); }};
+            [this] { return CountEntryNodes(BootTime()); },
+            [this] { return peers.FindMovedNodes(BootTime()); }};
   }
 
   // The replicated log.
--- a/libs/control/src/control_peers.cc
+++ b/libs/control/src/control_peers.cc
@@ -14,6 +14,8 @@
 constexpr Duration kEntryNodeTimeout = std::chrono::seconds(10);
 // Hello interval: 500 ms.
 constexpr Duration kVmTimeout = std::chrono::milliseconds(1600);
+// Two hellos; and four polls of entry nodes that have moved here.
+constexpr Duration kSilence = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -103,6 +105,36 @@
   return all;
 }
 
+std::map<NodeId, double> ControlPeers::FindMovedNodes(SteadyTime now) const {
+  std::lock_guard lock(mutex_);
+  std::set<NodeId> heard;
+  for (const auto& [node, entry] : entry_nodes_) {
+    if (now - entry.second < kSilence) {
+      heard.insert(node);
+    }
+  }
+  for (const auto& [vm, peer] : vms_) {
+    if (now - peer.contact.last_contact < kSilence) {
+      for (const auto& [node, domain] : peer.entry_nodes) {
+        heard.insert(node);
+      }
+    }
+  }
+  std::map<NodeId, double> moved;
+  for (const auto& [vm, peer] : vms_) {
+    if (now - peer.contact.last_contact < kSilence ||
+        peer.entry_nodes.empty()) {
+      continue;
+    }
+    const auto n = std::count_if(
+        peer.entry_nodes.begin(), peer.entry_nodes.end(),
+        [&](const auto& it) { return heard.contains(it.first); });
+    moved[vm] = static_cast<double>(n) /
+                static_cast<double>(peer.entry_nodes.size());
+  }
+  return moved;
+}
+
 NodeId ControlPeers::FindVmIn(const FailureDomain& domain,
                               SteadyTime now) const {
   if (domain == domain_) {
--- a/libs/control/src/control_peers.h
+++ b/libs/control/src/control_peers.h
@@ -45,6 +45,9 @@
   std::map<NodeId, FailureDomain> PollingEntryNodes() const;
   // Entry nodes that poll any control VM, by failure domain.
   std::map<FailureDomain, std::set<NodeId>> AllEntryNodes(SteadyTime now) const;
+  // Returns for each control VM that has been silent for a second the part of
+  // its entry nodes that poll this VM or one that is present.
+  std::map<NodeId, double> FindMovedNodes(SteadyTime now) const;
   // Returns a present control VM in `domain`, preferably this one; empty if
   // there is none.
   NodeId FindVmIn(const FailureDomain& domain, SteadyTime now) const;
--- a/tests/allotments/allotment_ledger_test.cc
+++ b/tests/allotments/allotment_ledger_test.cc
@@ -154,6 +154,23 @@
   EXPECT_NEAR(Tokens(), before, 0.1);
 }
 
+// Guards against a share that is kept for nodes which now report elsewhere: an
+// organisation whose callers use one node would be refused for 10 s.
+TEST_F(AllotmentLedgerTest, ShareOfMovedNodesIsReturned) {
+  Pass(seconds(3));
+  for (int i = 0; i < 20; ++i) {
+    Totals(8);
+    Pass(milliseconds(250));
+  }
+  const double size = ledger_.organisations.at(kLarge).size;
+  Pass(seconds(1));
+  EXPECT_LT(ledger_.organisations.at(kLarge).available, 0.2);
+  SetMovedNodes(ledger_, {{kOtherVm, 1}});
+  Pass(milliseconds(250));
+  EXPECT_EQ(ledger_.organisations.at(kLarge).available, 1);
+  EXPECT_NEAR(Tokens(), size, size / 4);
+}
+
 // Guards against a silent node whose share is spent by the others.
 TEST_F(AllotmentLedgerTest, ShareOfSilentNodeIsCharged) {
   Pass(seconds(3));
--- a/tests/platform/entry_codec_test.cc
+++ b/tests/platform/entry_codec_test.cc
@@ -182,6 +182,14 @@
       http::status::bad_gateway);
 }
 
+// Guards against a refusal that callers do not take for a promise that the
+// request was not run, or that has no retry time.
+TEST(EntryCodecTest, EncodesRequestsOverAllotment) {
+  const Response response = Codec().encode_over_allotment(milliseconds(250));
+  EXPECT_EQ(response.result(), http::status::too_many_requests);
+  EXPECT_EQ(response["Retry-After"], "0.250");
+}
+
 // Guards against a field of digests that is too long for the parser, which
 // throws on it, or for callers: a set of routes may name many shards, and a
 // server may send a long digest.
--- a/tests/settings/tier_settings_test.cc
+++ b/tests/settings/tier_settings_test.cc
@@ -36,6 +36,19 @@
             std::chrono::milliseconds(7500));
 }
 
+// Guards against allotments that are enforced by other bounds than those of the
+// deployment.
+TEST_F(TierSettingsTest, AllotmentBoundsAreRead) {
+  const TierSettings settings = Load(
+      R"(, "allotment_window_s": 4, "allotment_overage": 0.2,)"
+      R"( "allotment_slack": 7)");
+  EXPECT_EQ(settings.allotment_window, std::chrono::seconds(4));
+  EXPECT_EQ(settings.allotment_overage, 0.2);
+  EXPECT_EQ(settings.allotment_slack, 7);
+  EXPECT_EQ(Load("").allotment_window, std::chrono::seconds(5));
+  EXPECT_THROW(Load(R"(, "allotment_overage": -1)"), SettingsError);
+}
+
 // Guards against a replacement time that the log cannot meet.
 TEST_F(TierSettingsTest, TooShortReplacementTimeIsRefused) {
   EXPECT_THROW(Load(R"(, "replacement_time_s": 2)"), SettingsError);
