--- a/libs/control/src/control_node.cc
+++ b/libs/control/src/control_node.cc
@@ -297,7 +297,8 @@
                 socket->Send(it, peer::FrameKind::kAllotmentTotals, totals);
               }
             },
-            [this] { return entry_nodes.Count(); }};
+            [this] { return entry_nodes.Count(); },
+            [this] { return entry_nodes.FindMovedNodes(BootTime()); }};
   }
 
   // The replicated log.
--- a/libs/control/src/entry_node_lists.cc
+++ b/libs/control/src/entry_node_lists.cc
@@ -2,6 +2,7 @@
 
 #include "entry_node_lists.h"
 
+#include <algorithm>
 #include <chrono>
 #include <string>
 
@@ -17,6 +18,8 @@
 // Entry nodes poll every 250 ms. Long enough for a restarted entry node to keep
 // its share of the connection limits.
 constexpr Duration kEntryNodeTimeout = std::chrono::seconds(10);
+// Two hellos; and four polls of entry nodes that have moved here.
+constexpr Duration kSilence = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -116,6 +119,39 @@
   return lost;
 }
 
+std::map<NodeId, double> EntryNodeLists::FindMovedNodes(SteadyTime now) const {
+  std::lock_guard lock(mutex_);
+  const auto is_present = [&](const Peer& peer) {
+    return now - peer.last_contact < kSilence;
+  };
+  std::map<NodeId, double> moved;
+  for (const auto& [vm, peer] : peers_) {
+    if (is_present(peer) || peer.nodes.list.size == 0) {
+      continue;
+    }
+    size_t n = 0;
+    for (const auto& [domain, nodes] : peer.nodes.list.nodes) {
+      for (const NodeId& node : nodes) {
+        const auto poll = polls_.find(node);
+        const bool polls_this_vm =
+            poll != polls_.end() && now - poll->second.second < kSilence;
+        n +=
+            polls_this_vm || std::any_of(peers_.begin(), peers_.end(),
+                                         [&](const auto& it) {
+                                           return is_present(it.second) &&
+                                                  Contains(it.second.nodes.list,
+                                                           {domain, node});
+                                         })
+                ? 1
+                : 0;
+      }
+    }
+    moved[vm] =
+        static_cast<double>(n) / static_cast<double>(peer.nodes.list.size);
+  }
+  return moved;
+}
+
 size_t EntryNodeLists::Count() const {
   std::lock_guard lock(mutex_);
   return all_.list.size;
--- a/libs/control/src/entry_node_lists.h
+++ b/libs/control/src/entry_node_lists.h
@@ -29,7 +29,8 @@
 namespace gooseberryrock::control {
 
 // Thread-safe. The cost of each call depends on the changes since the last one,
-// not on the number of nodes, except for RemoveLost().
+// not on the number of nodes, except for RemoveLost() and, while a control VM
+// is silent, FindMovedNodes().
 class EntryNodeLists {
  public:
   // `incarnation` identifies this process; versions restart with each one.
@@ -52,6 +53,9 @@
   // VMs that are silent. Returns the former.
   std::vector<NodeId> RemoveLost(SteadyTime now);
 
+  // Returns for each control VM that has been silent for a second the part of
+  // its nodes that poll this VM or one that is present.
+  std::map<NodeId, double> FindMovedNodes(SteadyTime now) const;
   // Number of nodes that poll any control VM.
   size_t Count() const;
   // List entries copied, hashed or encoded so far.
--- a/libs/node_list/include/gooseberryrock/node_list/node_list.h
+++ b/libs/node_list/include/gooseberryrock/node_list/node_list.h
@@ -36,6 +36,8 @@
 bool Add(NodeList& list, const ListedNode& node);
 bool Remove(NodeList& list, const ListedNode& node);
 
+bool Contains(const NodeList& list, const ListedNode& node);
+
 }  // namespace gooseberryrock::node_list
 
 #endif  // GOOSEBERRYROCK_NODE_LIST_NODE_LIST_H_
--- a/libs/node_list/src/node_list.cc
+++ b/libs/node_list/src/node_list.cc
@@ -36,4 +36,9 @@
   return true;
 }
 
+bool Contains(const NodeList& list, const ListedNode& node) {
+  const auto domain = list.nodes.find(node.domain);
+  return domain != list.nodes.end() && domain->second.contains(node.node);
+}
+
 }  // namespace gooseberryrock::node_list
