relay: route by the slowness that servers state

The slowness of a server was a moving average of reply times with a half-life of 2 s. A spell of 0.6 s was noticed late, and the server was avoided long after it; the adapter dropped the slots and the fourth figure of the load statement.

Replies carry a ServerLoad. load_report.h combines the stated slowness, which fades with a half-life of 150 ms, with the persistent speed of the server, its queue and a trust that falls when observed times contradict the statements. domain_crossing.h moves only the share of the work to another failure domain that the own servers lack. A load statement that cannot be read, or that has fewer than three figures, counts as malformed. RelayPolicy::use_stated_slowness selects the choice by observed times.

The test of the adapter compared the sum of two figures; it now compares each figure and the refused forms.

--- a/libs/entry/src/entry_shard_attempts.cc
+++ b/libs/entry/src/entry_shard_attempts.cc
@@ -252,6 +252,11 @@
                         now);
     if (decoded.load) {
       relay::RecordLoad(server->stats, *decoded.load, now);
+      if (decoded.kind == relay::ReplyKind::kSuccess) {
+        relay::RecordObservedTime(server->stats.report,
+                                  in_flight_attempt.sent_at,
+                                  in_flight_attempt.typical, now);
+      }
     }
     RecordStatements(*in_flight_attempt.pool, *server, decoded,
                      in_flight_attempt.sent_at, now);
@@ -329,11 +334,12 @@
                                   const relay::ServerReply& reply,
                                   SteadyTime sent_at,
                                   SteadyTime now) {
-  if (reply.has_malformed_statement) {
+  if (reply.has_malformed_statement || reply.has_malformed_load) {
     Increment(metrics_, Counter::kServerStatementsMalformed);
     telemetry::LogEvent(LogLevel::kWarning, "server_statement_malformed",
                         {{"server", server.id.value}});
-  } else {
+  }
+  if (!reply.has_malformed_statement) {
     RecordLimit(server, reply.request_limit, sent_at, now);
   }
   ServerNotice notice;
--- a/libs/relay/include/gooseberryrock/relay/relay_policy.h
+++ b/libs/relay/include/gooseberryrock/relay/relay_policy.h
@@ -80,6 +80,18 @@
   // Half-life of a server's measured slowness, so that a slow server is
   // eventually tried again.
   Duration slowness_half_life = std::chrono::seconds(2);
+  // Whether a slowness that servers state is used; otherwise, and for servers
+  // that state none, only observed times count.
+  bool use_stated_slowness = true;
+  // Half-life of a stated slowness. Machines change their speed several times a
+  // second, and a spell of 0.6 s has to be detected and its end noticed within
+  // a fraction of it.
+  Duration stated_slowness_half_life = std::chrono::milliseconds(150);
+  // Time constant with which work moves out of a failure domain whose servers
+  // state their slowness: the time after which the effect of a move shows in
+  // the reports, two round trips of 9 ms between domains. With 150 ms, requests
+  // wait for a part of each spell of 0.6 s.
+  Duration crossing_damping = std::chrono::milliseconds(20);
   // Age at which a load report no longer counts.
   Duration load_report_max_age = std::chrono::milliseconds(300);
 };
--- a/libs/relay/include/gooseberryrock/relay/server_reply.h
+++ b/libs/relay/include/gooseberryrock/relay/server_reply.h
@@ -3,12 +3,12 @@
 #ifndef GOOSEBERRYROCK_RELAY_SERVER_REPLY_H_
 #define GOOSEBERRYROCK_RELAY_SERVER_REPLY_H_
 
-#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "gooseberryrock/base/time.h"
+#include "gooseberryrock/relay/server_load.h"
 
 namespace gooseberryrock::relay {
 
@@ -33,8 +33,9 @@
   std::vector<std::string> digests;
   // The records of a shard.
   std::string body;
-  // Number of requests running or queued at the server, if reported.
-  std::optional<uint32_t> load;
+  // The load that the server states, and whether its statement cannot be read.
+  std::optional<ServerLoad> load;
+  bool has_malformed_load = false;
   // Requests per second that the server accepts from all nodes together, if it
   // names a limit; finite and not negative.
   std::optional<double> request_limit;
--- a/libs/relay/include/gooseberryrock/relay/server_stats.h
+++ b/libs/relay/include/gooseberryrock/relay/server_stats.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 
 #include "gooseberryrock/base/time.h"
+#include "gooseberryrock/relay/load_report.h"
 
 namespace gooseberryrock::relay {
 
@@ -28,6 +29,7 @@
   // Number of running and queued requests that the server reported.
   uint32_t reported_load = 0;
   SteadyTime reported_at;
+  LoadReport report;
   // Connections that could not be opened or ended without a reply, and attempts
   // that were abandoned, since the last reply.
   uint32_t consecutive_failures = 0;
@@ -60,10 +62,13 @@
                   Duration typical,
                   SteadyTime now);
 
-// Records that `load` requests were running or queued when the server replied.
-void RecordLoad(ServerStats& stats, uint32_t load, SteadyTime now);
+// Records the load that a reply states, after RecordResult() and with the reply
+// no longer outstanding.
+void RecordLoad(ServerStats& stats, const ServerLoad& load, SteadyTime now);
 
-// The slowness, decayed towards 1 with the age of the measurement.
+// The slowness that the server states, corrected by its persistent speed. For a
+// server that states none, the measured one, decayed towards 1 with the age of
+// the measurement.
 double SlownessAt(const ServerStats& stats,
                   const RelayPolicy& policy,
                   SteadyTime now);
--- a/libs/relay/include/gooseberryrock/relay/service_pool.h
+++ b/libs/relay/include/gooseberryrock/relay/service_pool.h
@@ -13,6 +13,7 @@
 #include "gooseberryrock/base/time.h"
 #include "gooseberryrock/query/attempt_budget.h"
 #include "gooseberryrock/query/latency_estimate.h"
+#include "gooseberryrock/relay/domain_crossing.h"
 #include "gooseberryrock/relay/pool_server.h"
 
 namespace gooseberryrock::relay {
@@ -35,6 +36,8 @@
   std::vector<PoolServer> servers;
   std::array<ReplyTimes, kRankCount> times;
   query::AttemptBudget budget;
+  // The part of the requests that leaves the failure domain of the node.
+  DomainCrossing crossing;
 };
 
 using PoolMap = std::map<ServiceName, ServicePool>;
--- a/libs/relay/src/choose_server.cc
+++ b/libs/relay/src/choose_server.cc
@@ -43,8 +43,12 @@
          now >= server.stats.next_probe;
 }
 
-double Slots(const PoolServer& server) {
-  return std::max<double>(server.slots, 1);
+double Slots(const PoolServer& server, const RelayPolicy& policy) {
+  const LoadReport& report = server.stats.report;
+  return std::max<double>(IsStated(report, policy)
+                              ? StatedSlots(report, server.slots)
+                              : server.slots,
+                          1);
 }
 
 double TotalLoad(const PoolServer& server,
@@ -53,6 +57,60 @@
   return LoadAt(server.stats, policy, now) + server.queued;
 }
 
+bool IsNear(const PoolServer& server, const Selection& selection) {
+  return selection.domain != nullptr ? server.domain == *selection.domain
+                                     : server.same_domain;
+}
+
+Duration CrossingCost(const RelayPolicy& policy, const Selection& selection) {
+  return Scale(selection.target_latency, policy.cross_domain_share);
+}
+
+// The candidate with the lowest cost of those seen so far.
+struct Cheapest {
+  std::optional<size_t> index;
+  Duration cost = Duration::max();
+  uint32_t equal = 0;
+};
+
+void Offer(Cheapest& best,
+           size_t index,
+           Duration cost,
+           std::mt19937_64& random) {
+  if (cost > best.cost) {
+    return;
+  }
+  best.equal = cost < best.cost ? 1 : best.equal + 1;
+  // Reservoir sampling: each of the equal candidates is selected with the same
+  // probability.
+  if (best.equal == 1 || random() % best.equal == 0) {
+    best.index = index;
+    best.cost = cost;
+  }
+}
+
+// Whether a server of the domain states its slowness. Without statements the
+// lowest cost decides alone.
+bool MayDampCrossing(const ServicePool& pool,
+                     const RelayPolicy& policy,
+                     const Selection& selection) {
+  return selection.domain == nullptr &&
+         std::any_of(pool.servers.begin(), pool.servers.end(),
+                     [&](const PoolServer& it) {
+                       return it.same_domain &&
+                              IsStated(it.stats.report, policy);
+                     });
+}
+
+// Whether both servers are candidates and the one of the domain responds.
+bool IsCrossingDamped(const ServicePool& pool,
+                      const Cheapest& near,
+                      const Cheapest& far,
+                      SteadyTime now) {
+  return near.index && far.index &&
+         !IsSuspect(pool.servers[*near.index].stats, now);
+}
+
 }  // namespace
 
 Duration ExpectedTime(const ServicePool& pool,
@@ -62,7 +120,7 @@
                       SteadyTime now) {
   const Duration unqueued = UnqueuedTime(pool, policy, selection.times_rank,
                                          selection.target_latency);
-  const double slots = Slots(server);
+  const double slots = Slots(server, policy);
   const double waiting =
       std::max(0.0, TotalLoad(server, policy, now) + 1 - slots) / slots;
   const Duration queue = Scale(MeanUnqueuedTime(pool), waiting);
@@ -91,18 +149,16 @@
       TypicalTime(pool, policy, selection.times_rank, selection.target_latency);
   Duration cost = ExpectedTime(pool, server, policy, selection, now);
   cost += Scale(typical, policy.load_balance_factor *
-                             TotalLoad(server, policy, now) / Slots(server));
+                             TotalLoad(server, policy, now) /
+                             Slots(server, policy));
   // A failed attempt is retried while there is budget; without budget its shard
   // would be missing from the answer.
   const Duration failure_cost = pool.budget.tokens >= 1
                                     ? Scale(typical, policy.failure_cost_factor)
                                     : selection.target_latency;
   cost += Scale(failure_cost, server.stats.failure_share);
-  const bool is_near = selection.domain != nullptr
-                           ? server.domain == *selection.domain
-                           : server.same_domain;
-  if (!is_near) {
-    cost += Scale(selection.target_latency, policy.cross_domain_share);
+  if (!IsNear(server, selection)) {
+    cost += CrossingCost(policy, selection);
   }
   if (server.idle_connections == 0) {
     cost += server.connections < server.connection_share ? policy.connect_cost
@@ -119,9 +175,10 @@
                                    const Selection& selection,
                                    std::mt19937_64& random,
                                    SteadyTime now) {
-  std::optional<size_t> best;
-  Duration best_cost = Duration::max();
-  uint32_t equal = 0;
+  const bool may_damp = MayDampCrossing(pool, policy, selection);
+  Cheapest best;
+  Cheapest near;
+  Cheapest far;
   for (size_t i = 0; i < pool.servers.size(); ++i) {
     PoolServer& server = pool.servers[i];
     if (!IsCandidate(server, selection, now)) {
@@ -133,21 +190,22 @@
       return i;
     }
     const Duration cost = ServerCost(pool, server, policy, selection, now);
-    if (cost > best_cost) {
-      continue;
-    }
-    equal = cost < best_cost ? 1 : equal + 1;
-    // Reservoir sampling: each of the equal candidates is selected with the
-    // same probability.
-    if (equal == 1 || random() % equal == 0) {
-      best = i;
-      best_cost = cost;
+    Offer(best, i, cost, random);
+    if (may_damp) {
+      Offer(IsNear(server, selection) ? near : far, i, cost, random);
     }
   }
-  if (best) {
-    CountSend(pool.servers[*best].request_limit, now);
+  if (IsCrossingDamped(pool, near, far, now)) {
+    UpdateCrossing(pool.crossing, near.cost, far.cost,
+                   CrossingCost(policy, selection), policy.crossing_damping,
+                   now);
+    std::uniform_real_distribution<double> chance(0, 1);
+    best = chance(random) < pool.crossing.share ? far : near;
+  }
+  if (best.index) {
+    CountSend(pool.servers[*best.index].request_limit, now);
   }
-  return best;
+  return best.index;
 }
 
 SteadyTime AvailableAt(const PoolServer& server, Rank rank, SteadyTime now) {
--- a/libs/relay/src/server_stats.cc
+++ b/libs/relay/src/server_stats.cc
@@ -37,6 +37,13 @@
   return std::exp2(-Seconds(age) / Seconds(policy.slowness_half_life));
 }
 
+// The measured slowness, decayed towards 1 with the age of the measurement.
+double MeasuredSlowness(const ServerStats& stats,
+                        const RelayPolicy& policy,
+                        SteadyTime now) {
+  return 1 + (stats.slowness - 1) * DecayFactor(policy, now - stats.sampled_at);
+}
+
 void RecordFailure(ServerStats& stats,
                    const RelayPolicy& policy,
                    SteadyTime now) {
@@ -76,7 +83,7 @@
   const double sample =
       std::clamp(Seconds(now - sent_at) / std::max(Seconds(typical), 1e-6),
                  kMinSample, kMaxSample);
-  stats.slowness = SlownessAt(stats, policy, now);
+  stats.slowness = MeasuredSlowness(stats, policy, now);
   const bool confirmed =
       sample >= kSlowReplyRatio && stats.slowness >= kSuspectSlowness;
   stats.slowness += (confirmed ? kConfirmedSlownessWeight : kSlownessWeight) *
@@ -84,20 +91,27 @@
   stats.sampled_at = now;
 }
 
-void RecordLoad(ServerStats& stats, uint32_t load, SteadyTime now) {
-  stats.reported_load = load;
+void RecordLoad(ServerStats& stats, const ServerLoad& load, SteadyTime now) {
+  stats.reported_load = load.running + load.waiting;
   stats.reported_at = now;
+  RecordReport(stats.report, load, stats.outstanding, now);
 }
 
 double SlownessAt(const ServerStats& stats,
                   const RelayPolicy& policy,
                   SteadyTime now) {
-  return 1 + (stats.slowness - 1) * DecayFactor(policy, now - stats.sampled_at);
+  const double measured = MeasuredSlowness(stats, policy, now);
+  return IsStated(stats.report, policy)
+             ? StatedSlowness(stats.report, policy, measured, now)
+             : measured;
 }
 
 double LoadAt(const ServerStats& stats,
               const RelayPolicy& policy,
               SteadyTime now) {
+  if (IsStated(stats.report, policy)) {
+    return StatedRequests(stats.report, policy, stats.outstanding, now);
+  }
   const double age =
       Seconds(now - stats.reported_at) / Seconds(policy.load_report_max_age);
   const double reported = age >= 1 ? 0 : stats.reported_load * (1 - age);
--- a/tests/platform/entry_codec_test.cc
+++ b/tests/platform/entry_codec_test.cc
@@ -109,11 +109,35 @@
       DecodeReply(http::status::internal_server_error, "X-Server-Stamp", "s")
           .kind,
       ReplyKind::kFailure);
-  EXPECT_EQ(DecodeReply(http::status::ok, "X-Server-Load", "3,2,8").load, 5U);
-  for (const char* text : {"", "3", "3,", ",2,8", "a,b,c"}) {
-    EXPECT_FALSE(DecodeReply(http::status::ok, "X-Server-Load", text).load)
-        << text;
+}
+
+// Guards against a statement about load that is misread: a server could attract
+// work, or be avoided, by one wrong reply.
+TEST(EntryCodecTest, ReadsLoad) {
+  const auto decode = [](const std::string& value) {
+    return DecodeReply(http::status::ok, "X-Server-Load", value);
+  };
+  const auto three = decode("3,2,8").load;
+  ASSERT_TRUE(three);
+  EXPECT_EQ(three->running, 3U);
+  EXPECT_EQ(three->waiting, 2U);
+  EXPECT_EQ(three->slots, 8U);
+  EXPECT_FALSE(three->slowness);
+  EXPECT_FALSE(decode("3,2,8").has_malformed_load);
+  EXPECT_EQ(decode("0,0,4,250").load.value().slowness, 2.5);
+  for (const char* text :
+       {"", "3", "3,", ",2,8", "a,b,c", "3,2", "3,2,8,", "3,2,8,x", "3,2,8,0",
+        "3,2,8,-5", "3,2,8,nan", "3,2,8,10001", "3,2,8,99999999999",
+        "4000000000,0,8", "3,2,8,100,1", "3,2,8,1.5", "3, 2,8"}) {
+    EXPECT_FALSE(decode(text).load) << text;
+    EXPECT_TRUE(decode(text).has_malformed_load) << text;
+    EXPECT_FALSE(decode(text).has_malformed_statement) << text;
   }
+  Response repeated(http::status::ok, 11);
+  repeated.insert("X-Server-Load", "3,2,8");
+  repeated.insert("X-Server-Load", "0,0,8");
+  EXPECT_TRUE(Codec().parse_reply(repeated).has_malformed_load);
+  EXPECT_FALSE(DecodeReply(http::status::ok).has_malformed_load);
 }
 
 // Guards against a limit that is misread: a server could be given up for hours
--- a/tests/relay/relay_simulation.cc
+++ b/tests/relay/relay_simulation.cc
@@ -2,6 +2,8 @@
 
 #include "relay_simulation.h"
 
+#include <algorithm>
+#include <cmath>
 #include <deque>
 #include <functional>
 #include <map>
@@ -29,6 +31,7 @@
 constexpr Duration kPauseStep = std::chrono::milliseconds(5);
 
 struct Job {
+  SteadyTime arrived;
   std::function<void(const ServerReply&)> reply;
 };
 
@@ -56,6 +59,8 @@
  public:
   explicit Simulation(const SimulationOptions& options)
       : options_(options), nodes_(options.nodes) {
+    policy_ = options_.policy;
+    random_.seed(options_.seed);
     if (options_.baseline) {
       policy_.overdue_quantile = 1;
       policy_.min_overdue_share = 1e6;
@@ -127,14 +132,23 @@
     if (now_ - kStart >= options_.length) {
       return;
     }
-    std::exponential_distribution<double> gap(options_.rate);
+    std::exponential_distribution<double> gap(
+        options_.demand ? 2 * options_.rate : options_.rate);
     At(now_ + std::chrono::duration_cast<Duration>(
                   std::chrono::duration<double>(gap(random_))),
        [this] { Arrive(); });
-    ++result_.requests;
     std::vector<ServicePool*> pools;
     auto request = std::make_shared<Request>();
     request->node = random_() % nodes_.size();
+    if (options_.demand) {
+      // The arrivals come at twice the rate, and the demand thins them out.
+      std::uniform_real_distribution<double> chance(0, 2);
+      if (chance(random_) >
+          options_.demand(DomainOf(request->node), now_ - kStart)) {
+        return;
+      }
+    }
+    ++result_.requests;
     for (ServicePool& it : nodes_[request->node]) {
       pools.push_back(&it);
     }
@@ -166,12 +180,22 @@
     }
   }
 
+  size_t DomainOf(size_t node) const {
+    return node % options_.servers_per_shard;
+  }
+
+  Duration DelayTo(const Server& server, size_t node) const {
+    return server.index == DomainOf(node) ? kDelay
+                                          : kDelay + options_.cross_delay;
+  }
+
   void Count(const Request& request, const Outcome& outcome) {
     if (std::holds_alternative<RefusedOutcome>(outcome)) {
       ++result_.refused;
       return;
     }
     const auto* answer = std::get_if<GatheredOutcome>(&outcome);
+    result_.answer_times.push_back(now_ - request.state->received);
     if (answer == nullptr || now_ > request.state->received + options_.target) {
       return;
     }
@@ -193,12 +217,19 @@
     Apply(request, OnAttemptSent(*request->state, attempt.number,
                                  {policy_, random_}, now_));
     Server& server = servers_[std::stoul(attempt.server.value)];
-    At(now_ + kDelay, [this, request, &server, number = attempt.number] {
+    const Duration delay = DelayTo(server, request->node);
+    if (server.index != DomainOf(request->node)) {
+      ++result_.crossed;
+      ++result_.crossed_by_interval[{
+          DomainOf(request->node),
+          (now_ - kStart) / std::chrono::milliseconds(100)}];
+    }
+    At(now_ + delay, [this, request, &server, delay, number = attempt.number] {
       const Duration rest = RestOf(server);
       result_.arrivals[static_cast<size_t>(&server - servers_.data())]
           .push_back({now_ - kStart, request->node, rest > Duration::zero()});
       if (rest > Duration::zero()) {
-        At(now_ + kDelay, [this, request, number, rest] {
+        At(now_ + delay, [this, request, number, rest] {
           ServerReply reply = MakeReply(ReplyKind::kNotRun);
           reply.rest = rest;
           Reply(request, number, std::move(reply));
@@ -206,11 +237,11 @@
         return;
       }
       server.waiting.push_back(
-          {[this, request, number](const ServerReply& reply) {
-            At(now_ + kDelay, [this, request, number, reply] {
-              Reply(request, number, reply);
-            });
-          }});
+          {now_, [this, request, number, delay](const ServerReply& reply) {
+             At(now_ + delay, [this, request, number, reply] {
+               Reply(request, number, reply);
+             });
+           }});
       Serve(server);
     });
   }
@@ -242,6 +273,8 @@
       Job job = std::move(server.waiting.front());
       server.waiting.pop_front();
       ++server.running;
+      ++result_.started;
+      result_.waited += now_ - job.arrived;
       const double x =
           options_.slowness
               ? options_.slowness(server.shard, server.index, now_ - kStart)
@@ -263,7 +296,13 @@
     if (IsReplyLost(server)) {
       reply.kind = ReplyKind::kUnusable;
     }
-    reply.load = server.running + static_cast<uint32_t>(server.waiting.size());
+    reply.load =
+        ServerLoad{server.running, static_cast<uint32_t>(server.waiting.size()),
+                   options_.slots, std::nullopt};
+    if (options_.statement) {
+      reply.load = options_.statement(server.shard, server.index, *reply.load,
+                                      now_ - kStart);
+    }
     reply.request_limit = LimitOf(server);
     reply.leaving = options_.leaving &&
                     options_.leaving(server.shard, server.index, now_ - kStart);
@@ -315,6 +354,12 @@
         now_);
     if (reply.load) {
       RecordLoad(server.stats, *reply.load, now_);
+      if (answered) {
+        RecordObservedTime(server.stats.report, flight.sent_at,
+                           TypicalTime(*flight.pool, policy_, route_.rank,
+                                       route_.target_latency),
+                           now_);
+      }
     }
     RecordStatements(server, reply, flight.sent_at);
     if (answered) {
@@ -346,6 +391,26 @@
 
 }  // namespace
 
+Duration SimulationResult::AnswerQuantile(double quantile) const {
+  std::vector<Duration> times = answer_times;
+  const auto n =
+      static_cast<ptrdiff_t>(quantile * static_cast<double>(times.size() - 1));
+  std::nth_element(times.begin(), times.begin() + n, times.end());
+  return times[static_cast<size_t>(n)];
+}
+
+double SimulationResult::CrossingSwing() const {
+  double sum = 0;
+  size_t n = 0;
+  for (const auto& [key, count] : crossed_by_interval) {
+    const auto next = crossed_by_interval.find({key.first, key.second + 1});
+    const size_t after = next == crossed_by_interval.end() ? 0 : next->second;
+    sum += std::abs(static_cast<double>(after) - static_cast<double>(count));
+    ++n;
+  }
+  return n > 0 ? sum / static_cast<double>(n) : 0;
+}
+
 SimulationResult Simulate(const SimulationOptions& options) {
   return Simulation(options).Run();
 }
--- a/tests/relay/server_stats_test.cc
+++ b/tests/relay/server_stats_test.cc
@@ -67,7 +67,7 @@
 
 // Guards against avoiding a server because of an outdated load report.
 TEST_F(ServerStatsTest, LoadReportsAge) {
-  RecordLoad(stats_, 10, kStart);
+  RecordLoad(stats_, {8, 2, 4, std::nullopt}, kStart);
   EXPECT_DOUBLE_EQ(LoadAt(stats_, policy_, kStart), 10);
   EXPECT_LT(LoadAt(stats_, policy_, kStart + Ms(200)), 5);
   EXPECT_DOUBLE_EQ(LoadAt(stats_, policy_, kStart + Ms(300)), 0);
