relay: refuse gathered requests that would miss their coverage

A gathered request whose shards were silent or refused their work was sent all the same. It ran on the other shards, waited until the target latency and failed.

Before anything is sent, each shard gets a chance of being missing, from servers that have been silent for the target latency since an attempt became overdue and from the share of attempts that servers refused. If more shards than the least coverage allows are missed on average, the request is refused with a spread retry time; every 200 ms one request is sent.

--- a/libs/entry/src/entry_shard.cc
+++ b/libs/entry/src/entry_shard.cc
@@ -365,7 +365,7 @@
     in_flight_attempt.overdue = true;
     if (auto* server = relay::FindServer(*in_flight_attempt.pool,
                                          in_flight_attempt.server)) {
-      ++server->stats.overdue;
+      relay::RecordOverdue(server->stats, BootTime());
     }
   }
   for (const relay::AttemptToDrop& drop : effects.drop) {
--- a/libs/relay/include/gooseberryrock/relay/choose_server.h
+++ b/libs/relay/include/gooseberryrock/relay/choose_server.h
@@ -77,6 +77,14 @@
 // failed and are not due for a probe, rest, or are at their request limits.
 bool IsUnavailable(const ServicePool& pool, Rank rank, SteadyTime now);
 
+// The chance that no server of the pool takes a request now, in [0, 1]: 1 if
+// all are unavailable or have been silent for the target latency, otherwise by
+// the refusals of the others. Without budget only one of them can be asked.
+double MissChance(const ServicePool& pool,
+                  Rank rank,
+                  Duration target_latency,
+                  SteadyTime now);
+
 // Whether a usable server of the pool is at its request limit, or rests or has
 // not replied since its rest.
 bool HasLimitedServer(const ServicePool& pool, Rank rank, SteadyTime now);
--- a/libs/relay/include/gooseberryrock/relay/relay_policy.h
+++ b/libs/relay/include/gooseberryrock/relay/relay_policy.h
@@ -38,6 +38,13 @@
   // the typical time, so that equal servers share the load.
   double load_balance_factor = 0.5;
 
+  // Whether a gathered request is refused before it is sent if so many shards
+  // are unresponsive that it would lack the minimum coverage.
+  bool refuse_unresponsive = true;
+  // Time between requests that are sent all the same, to learn of servers that
+  // respond again.
+  Duration unresponsive_trial_interval = std::chrono::milliseconds(200);
+
   // Quantile of the reply time after which an attempt is overdue.
   double overdue_quantile = 0.95;
   // Minimum time until an attempt is overdue, as a fraction of the target
--- a/libs/relay/include/gooseberryrock/relay/server_stats.h
+++ b/libs/relay/include/gooseberryrock/relay/server_stats.h
@@ -26,6 +26,14 @@
   // no longer needed.
   uint32_t outstanding = 0;
   uint32_t overdue = 0;
+  // When an attempt became overdue while no other was, and when the server last
+  // replied.
+  SteadyTime overdue_since;
+  SteadyTime replied_at;
+  // Moving average of the fraction of attempts that were refused, in [0, 1],
+  // and when it was last updated.
+  double refusal_share = 0;
+  SteadyTime refusals_at;
   // Number of running and queued requests that the server reported.
   uint32_t reported_load = 0;
   SteadyTime reported_at;
@@ -53,6 +61,19 @@
 // failed and is not yet due for a probe.
 bool IsSuspect(const ServerStats& stats, SteadyTime now);
 
+// Whether attempts are overdue and the server has been silent for at least
+// `target_latency` since. Pauses of 120 ms are shorter than that and the time
+// until an attempt is overdue together.
+bool IsStalled(const ServerStats& stats,
+               Duration target_latency,
+               SteadyTime now);
+
+// The fraction of attempts that the server refuses, decayed with its age.
+double RefusalShareAt(const ServerStats& stats, SteadyTime now);
+
+// Records that another attempt is overdue.
+void RecordOverdue(ServerStats& stats, SteadyTime now);
+
 // Records the result of an attempt. `typical` is the typical reply time for
 // such a request at the service.
 void RecordResult(ServerStats& stats,
--- a/libs/relay/include/gooseberryrock/relay/service_pool.h
+++ b/libs/relay/include/gooseberryrock/relay/service_pool.h
@@ -38,6 +38,8 @@
   query::AttemptBudget budget;
   // The part of the requests that leaves the failure domain of the node.
   DomainCrossing crossing;
+  // When the next request is sent although too many shards are unresponsive.
+  SteadyTime next_trial;
 };
 
 using PoolMap = std::map<ServiceName, ServicePool>;
--- a/libs/relay/src/choose_server.cc
+++ b/libs/relay/src/choose_server.cc
@@ -21,6 +21,13 @@
          MaySend(server.request_limit, rank, now);
 }
 
+// Whether the server may get no request, or failed and is not due for a probe.
+bool IsOut(const PoolServer& server, Rank rank, SteadyTime now) {
+  return !MayGetRequest(server, rank, now) ||
+         (IsSuspect(server.stats, now) &&
+          server.stats.consecutive_failures > 0);
+}
+
 bool IsCandidate(const PoolServer& server,
                  const Selection& selection,
                  SteadyTime now) {
@@ -222,10 +229,24 @@
 
 bool IsUnavailable(const ServicePool& pool, Rank rank, SteadyTime now) {
   return std::all_of(
-      pool.servers.begin(), pool.servers.end(), [&](const PoolServer& it) {
-        return !MayGetRequest(it, rank, now) ||
-               (IsSuspect(it.stats, now) && it.stats.consecutive_failures > 0);
-      });
+      pool.servers.begin(), pool.servers.end(),
+      [&](const PoolServer& it) { return IsOut(it, rank, now); });
+}
+
+double MissChance(const ServicePool& pool,
+                  Rank rank,
+                  Duration target_latency,
+                  SteadyTime now) {
+  double least = 1;
+  double all = 1;
+  for (const PoolServer& it : pool.servers) {
+    if (!IsOut(it, rank, now) && !IsStalled(it.stats, target_latency, now)) {
+      const double refused = RefusalShareAt(it.stats, now);
+      least = std::min(least, refused);
+      all *= refused;
+    }
+  }
+  return pool.budget.tokens >= 1 ? all : least;
 }
 
 bool HasLimitedServer(const ServicePool& pool, Rank rank, SteadyTime now) {
--- a/libs/relay/src/request_machine.cc
+++ b/libs/relay/src/request_machine.cc
@@ -308,6 +308,11 @@
     if (FinishIfTooFewShards(state, context, now, effects)) {
       return effects;
     }
+    if (const auto wait = UnresponsiveRetryDelay(state, context, now)) {
+      Finish(state, RefusedOutcome{RefusalReason::kShardsUnavailable, *wait},
+             now, effects);
+      return effects;
+    }
     if (const auto wait = OverloadRetryDelay(state, context, now)) {
       Finish(state, RefusedOutcome{RefusalReason::kOverloaded, *wait}, now,
              effects);
--- a/libs/relay/src/server_stats.cc
+++ b/libs/relay/src/server_stats.cc
@@ -29,6 +29,12 @@
 constexpr double kMinSample = 0.5;
 constexpr uint32_t kMaxDoublings = 5;
 
+// Weight of an attempt in the moving average of refusals, and its half-life. At
+// 0.3 s, more requests that cannot be answered are sent than at 1 s; an attempt
+// that is accepted shows sooner that there is room.
+constexpr double kRefusalWeight = 0.3;
+constexpr Duration kRefusalHalfLife = std::chrono::milliseconds(1000);
+
 double Seconds(Duration duration) {
   return std::chrono::duration<double>(duration).count();
 }
@@ -62,6 +68,26 @@
          (stats.consecutive_failures > 0 && now < stats.next_probe);
 }
 
+bool IsStalled(const ServerStats& stats,
+               Duration target_latency,
+               SteadyTime now) {
+  // After a restart of the server the time is unknown.
+  return stats.overdue > 0 && stats.overdue_since != SteadyTime() &&
+         now - std::max(stats.overdue_since, stats.replied_at) >=
+             target_latency;
+}
+
+double RefusalShareAt(const ServerStats& stats, SteadyTime now) {
+  return stats.refusal_share * std::exp2(-Seconds(now - stats.refusals_at) /
+                                         Seconds(kRefusalHalfLife));
+}
+
+void RecordOverdue(ServerStats& stats, SteadyTime now) {
+  if (stats.overdue++ == 0) {
+    stats.overdue_since = now;
+  }
+}
+
 void RecordResult(ServerStats& stats,
                   const RelayPolicy& policy,
                   AttemptResult result,
@@ -73,6 +99,11 @@
     return;
   }
   stats.consecutive_failures = 0;
+  stats.replied_at = now;
+  const double refused = result == AttemptResult::kRefused ? 1 : 0;
+  stats.refusal_share = RefusalShareAt(stats, now);
+  stats.refusal_share += kRefusalWeight * (refused - stats.refusal_share);
+  stats.refusals_at = now;
   const double failed = result == AttemptResult::kAnswered ? 0 : 1;
   stats.failure_share += kFailureWeight * (failed - stats.failure_share);
   // Attempts that were in flight at the same time were delayed by the same
--- a/libs/relay/src/shard_admission.cc
+++ b/libs/relay/src/shard_admission.cc
@@ -24,6 +24,10 @@
 // Minimum retry delay under overload: the time to work off a few requests.
 constexpr Duration kMinOverloadDelay = std::chrono::milliseconds(50);
 
+// Minimum retry delay while shards are unresponsive: short, because the caller
+// may reach a node in another failure domain in time.
+constexpr Duration kMinUnresponsiveDelay = std::chrono::milliseconds(100);
+
 void SkipPart(RequestState& state, RequestPart& part) {
   part.skipped = true;
   FailPart(state, part);
@@ -81,6 +85,45 @@
   }
 }
 
+std::optional<Duration> UnresponsiveRetryDelay(const RequestState& state,
+                                               RelayContext context,
+                                               SteadyTime now) {
+  // A node that gathers for another one does not know the minimum coverage.
+  if (!context.policy.refuse_unresponsive || state.reports_progress) {
+    return std::nullopt;
+  }
+  double missing = 0;
+  double most = 0;
+  ServicePool* worst = nullptr;
+  for (const RequestPart& it : state.parts) {
+    if (it.failed) {
+      continue;
+    }
+    const double miss =
+        MissChance(*it.pool, state.rank, state.route->target_latency, now);
+    missing += miss;
+    if (miss > most) {
+      most = miss;
+      worst = it.pool;
+    }
+  }
+  // The request probably fails if this exceeds what may be missing by half a
+  // shard. Waiting for more certainty leaves the servers more requests that
+  // miss a shard after they ran on the others.
+  constexpr double kHalfShard = 0.5;
+  const double may_miss =
+      static_cast<double>(CountAvailable(state) - state.min_shards);
+  if (missing <= may_miss + kHalfShard) {
+    return std::nullopt;
+  }
+  if (now >= worst->next_trial) {
+    worst->next_trial = now + context.policy.unresponsive_trial_interval;
+    return std::nullopt;
+  }
+  std::uniform_real_distribution<double> spread(1.0, 2.0);
+  return Scale(kMinUnresponsiveDelay, spread(context.random));
+}
+
 std::optional<Duration> OverloadRetryDelay(const RequestState& state,
                                            RelayContext context,
                                            SteadyTime now) {
--- a/libs/relay/src/shard_admission.h
+++ b/libs/relay/src/shard_admission.h
@@ -22,6 +22,13 @@
 // expected to take too long, as far as the minimum coverage allows.
 void SkipShards(RequestState& state, RelayContext context, SteadyTime now);
 
+// Returns the retry delay if so many shards are silent or refuse their work
+// that the request would probably lack the minimum coverage. Call it after it
+// is known that enough shards are available.
+std::optional<Duration> UnresponsiveRetryDelay(const RequestState& state,
+                                               RelayContext context,
+                                               SteadyTime now);
+
 // Returns the retry delay if the request cannot be answered in time.
 std::optional<Duration> OverloadRetryDelay(const RequestState& state,
                                            RelayContext context,
--- a/tests/relay/relay_simulation.cc
+++ b/tests/relay/relay_simulation.cc
@@ -161,7 +161,7 @@
     for (AttemptNumber it : effects.overdue) {
       Request::Flight& flight = request->flights.at(it);
       flight.overdue = true;
-      ++FindServer(*flight.pool, flight.server)->stats.overdue;
+      RecordOverdue(FindServer(*flight.pool, flight.server)->stats, now_);
     }
     if (effects.outcome) {
       Count(*request, *effects.outcome);
@@ -197,6 +197,7 @@
     const auto* answer = std::get_if<GatheredOutcome>(&outcome);
     result_.answer_times.push_back(now_ - request.state->received);
     if (answer == nullptr || now_ > request.state->received + options_.target) {
+      ++result_.late;
       return;
     }
     ++result_.in_time;
@@ -217,6 +218,15 @@
     Apply(request, OnAttemptSent(*request->state, attempt.number,
                                  {policy_, random_}, now_));
     Server& server = servers_[std::stoul(attempt.server.value)];
+    if (options_.cut_off &&
+        options_.cut_off(request->node, server.index, now_ - kStart)) {
+      // An I/O shard closes connections without a reply this long after the
+      // deadline.
+      constexpr Duration kGrace = std::chrono::milliseconds(300);
+      At(request->state->answer_deadline + kGrace,
+         [this, request, number = attempt.number] { Silent(request, number); });
+      return;
+    }
     const Duration delay = DelayTo(server, request->node);
     if (server.index != DomainOf(request->node)) {
       ++result_.crossed;
@@ -228,6 +238,13 @@
       const Duration rest = RestOf(server);
       result_.arrivals[static_cast<size_t>(&server - servers_.data())]
           .push_back({now_ - kStart, request->node, rest > Duration::zero()});
+      if (options_.max_waiting > 0 &&
+          server.waiting.size() >= options_.max_waiting) {
+        At(now_ + delay, [this, request, number] {
+          Reply(request, number, MakeReply(ReplyKind::kNotRun));
+        });
+        return;
+      }
       if (rest > Duration::zero()) {
         At(now_ + delay, [this, request, number, rest] {
           ServerReply reply = MakeReply(ReplyKind::kNotRun);
@@ -378,6 +395,21 @@
                                   {policy_, random_}, now_));
   }
 
+  void Silent(const std::shared_ptr<Request>& request, AttemptNumber number) {
+    const Request::Flight flight = request->flights.at(number);
+    ServerStats& stats = FindServer(*flight.pool, flight.server)->stats;
+    --stats.outstanding;
+    if (flight.overdue) {
+      --stats.overdue;
+    }
+    RecordResult(stats, policy_, AttemptResult::kSilent, flight.sent_at,
+                 Duration::zero(), now_);
+    if (!request->state->finished) {
+      Apply(request,
+            OnAttemptFailed(*request->state, number, {policy_, random_}, now_));
+    }
+  }
+
   const SimulationOptions options_;
   RelayPolicy policy_;
   routes::Route route_;
--- a/tests/relay/relay_simulation.h
+++ b/tests/relay/relay_simulation.h
@@ -61,6 +61,12 @@
   // The fraction of a server's replies at a given time that are lost with their
   // connection.
   std::function<double(size_t shard, size_t server, Duration at)> lost;
+  // Whether a node and a server of some index cannot reach each other at a
+  // given time: requests are lost and get no reply.
+  std::function<bool(size_t node, size_t server, Duration at)> cut_off;
+  // Number of waiting requests from which a server refuses more; 0 if it takes
+  // any number.
+  size_t max_waiting = 0;
   // Whether a server is paused at a given time; it resumes its requests
   // afterwards.
   std::function<bool(size_t shard, size_t server, Duration at)> paused;
@@ -82,6 +88,8 @@
   // Sum of the squared coverage of the answers within the target.
   double value = 0;
   size_t refused = 0;
+  // Number of requests that were answered late or failed.
+  size_t late = 0;
   // Attempts beyond the first one of each shard of each request.
   size_t extra_attempts = 0;
   size_t attempts = 0;
@@ -108,6 +116,9 @@
   // to the next.
   double CrossingSwing() const;
   Duration AnswerQuantile(double quantile) const;
+  double Share(size_t n) const {
+    return static_cast<double>(n) / static_cast<double>(requests);
+  }
   double Value() const { return value / static_cast<double>(requests); }
 };
 
--- a/tests/relay/request_machine_test.cc
+++ b/tests/relay/request_machine_test.cc
@@ -316,6 +316,62 @@
   EXPECT_TRUE(start.send.empty());
 }
 
+void Stall(PoolServer& server, SteadyTime since) {
+  RecordOverdue(server.stats, since);
+}
+
+void Fill(PoolServer& server, SteadyTime now) {
+  for (int i = 0; i < 20; ++i) {
+    RecordResult(server.stats, RelayPolicy(), AttemptResult::kRefused, now,
+                 Ms(10), now);
+  }
+}
+
+// Load: two of ten shards whose servers are silent, full or at rest, where one
+// may be missing. Guards against requests that wait until the target latency
+// for replies that do not come, and against callers that cannot come back in
+// time because they learn of it late.
+TEST(GatheredUnresponsiveTest, RefusedBeforeAnythingIsSent) {
+  RelayFixture it(10);
+  for (size_t i = 0; i < 2; ++i) {
+    Stall(it.pools[i].servers[0], kStart - Ms(120));
+    Fill(it.pools[i].servers[1], kStart - Ms(10));
+    RecordRest(it.pools[i].servers[2].notices, Ms(500), kStart);
+  }
+  it.pools[0].next_trial = kStart + Ms(1);
+  const auto start = it.Start(ShardedRoute());
+  EXPECT_TRUE(start.send.empty());
+  ASSERT_TRUE(start.outcome);
+  const auto& refused = std::get<RefusedOutcome>(*start.outcome);
+  EXPECT_EQ(refused.reason, RefusalReason::kShardsUnavailable);
+  EXPECT_GE(refused.retry_after, Ms(100));
+  EXPECT_LE(refused.retry_after, Ms(200));
+  // One request in 200 ms finds out whether the servers respond again.
+  EXPECT_EQ(it.Start(ShardedRoute(), kStart + Ms(1)).send.size(), 10U);
+  EXPECT_TRUE(it.Start(ShardedRoute(), kStart + Ms(2)).send.empty());
+  it.policy.refuse_unresponsive = false;
+  EXPECT_EQ(it.Start(ShardedRoute(), kStart + Ms(3)).send.size(), 10U);
+}
+
+// Guards against refusing requests that are answered in time: one shard may be
+// missing, one server responds, or a pause has just begun.
+TEST(GatheredUnresponsiveTest, SentWhileEnoughShardsRespond) {
+  const auto is_sent = [](Duration silent, size_t shards, size_t servers) {
+    RelayFixture it(10);
+    for (size_t i = 0; i < shards; ++i) {
+      it.pools[i].next_trial = kStart + Ms(1000);
+      for (size_t n = 0; n < servers; ++n) {
+        Stall(it.pools[i].servers[n], kStart - silent);
+      }
+    }
+    return it.Start(ShardedRoute()).send.size() == 10;
+  };
+  EXPECT_TRUE(is_sent(Ms(120), 1, 3));
+  EXPECT_TRUE(is_sent(Ms(120), 10, 2));
+  EXPECT_TRUE(is_sent(Ms(95), 10, 3));
+  EXPECT_FALSE(is_sent(Ms(120), 2, 3));
+}
+
 void LimitAll(ServicePool& pool, double per_second, SteadyTime now = kStart) {
   for (PoolServer& it : pool.servers) {
     RecordLimit(it.request_limit, per_second, now, now);
--- a/tests/relay/server_stats_test.cc
+++ b/tests/relay/server_stats_test.cc
@@ -65,6 +65,37 @@
   EXPECT_FALSE(IsSuspect(stats_, kStart + Ms(10)));
 }
 
+// Guards against taking a server for silent that replies to some requests, or
+// that has restarted.
+TEST_F(ServerStatsTest, StalledWhileNothingArrives) {
+  RecordOverdue(stats_, kStart);
+  RecordOverdue(stats_, kStart + Ms(90));
+  EXPECT_FALSE(IsStalled(stats_, Ms(100), kStart + Ms(99)));
+  EXPECT_TRUE(IsStalled(stats_, Ms(100), kStart + Ms(100)));
+  Record(AttemptResult::kAnswered, kStart, kStart + Ms(100));
+  EXPECT_FALSE(IsStalled(stats_, Ms(100), kStart + Ms(150)));
+  EXPECT_TRUE(IsStalled(stats_, Ms(100), kStart + Ms(200)));
+  stats_ = {};
+  stats_.overdue = 1;
+  EXPECT_FALSE(IsStalled(stats_, Ms(100), kStart + Ms(200)));
+}
+
+// Guards against taking a server for full long after its refusals, or after a
+// single one.
+TEST_F(ServerStatsTest, RefusalsAreForgotten) {
+  Record(AttemptResult::kRefused, kStart, kStart);
+  EXPECT_LT(RefusalShareAt(stats_, kStart), 0.5);
+  for (int i = 0; i < 10; ++i) {
+    Record(AttemptResult::kRefused, kStart, kStart);
+  }
+  EXPECT_GT(RefusalShareAt(stats_, kStart), 0.9);
+  EXPECT_LT(RefusalShareAt(stats_, kStart + Ms(2000)), 0.3);
+  for (int i = 0; i < 10; ++i) {
+    Record(AttemptResult::kAnswered, kStart, kStart + Ms(10));
+  }
+  EXPECT_LT(RefusalShareAt(stats_, kStart + Ms(10)), 0.1);
+}
+
 // Guards against avoiding a server because of an outdated load report.
 TEST_F(ServerStatsTest, LoadReportsAge) {
   RecordLoad(stats_, {8, 2, 4, std::nullopt}, kStart);
