--- a/tests/relay/choose_server_test.cc
+++ b/tests/relay/choose_server_test.cc
@@ -90,6 +90,40 @@
   EXPECT_GT(chosen["s-2"], 60);
 }
 
+// Load: the server of the own domain states to be slow for a while. Guards
+// against all nodes of the domain leaving it with the same report, and against
+// work that stays away after the spell.
+TEST_F(ChooseServerTest, WorkLeavesTheDomainGraduallyAndReturns) {
+  const auto count_near = [&](double stated, SteadyTime from) {
+    int near = 0;
+    for (int i = 0; i < 100; ++i) {
+      const SteadyTime now = from + Ms(i);
+      RecordLoad(pool_.servers[0].stats, {0, 0, 2, stated}, now);
+      near += *ChooseServer(pool_, RelayPolicy(), selection_, random_, now) == 0
+                  ? 1
+                  : 0;
+    }
+    return near;
+  };
+  EXPECT_EQ(count_near(1, kStart), 100);
+  // The own server takes 37 ms; one elsewhere takes 15 ms and 15 ms for
+  // crossing.
+  const int in_spell = count_near(2.5, kStart + Ms(100));
+  EXPECT_GT(in_spell, 5);
+  EXPECT_LT(in_spell, 50);
+  EXPECT_GT(count_near(1, kStart + Ms(200)), 70);
+  EXPECT_EQ(count_near(1, kStart + Ms(400)), 100);
+}
+
+// Guards against damping the move away from a server that does not respond.
+TEST_F(ChooseServerTest, SuspectServerIsLeftAtOnce) {
+  RecordLoad(pool_.servers[0].stats, {0, 0, 2, 1}, kStart);
+  pool_.servers[0].stats.overdue = 1;
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_NE(Choose(), "s-0");
+  }
+}
+
 // Guards against a failed server that is never probed, and against many
 // requests that probe it at once.
 TEST_F(ChooseServerTest, FailedServerIsTriedOnceWhenDue) {
