--- a/libs/relay/include/gooseberryrock/relay/relay_policy.h
+++ b/libs/relay/include/gooseberryrock/relay/relay_policy.h
@@ -38,6 +38,13 @@
   // the typical time, so that equal servers share the load.
   double load_balance_factor = 0.5;
 
+  // Whether a gathered request is refused before it is sent if so many shards
+  // are unresponsive that it would lack the minimum coverage.
+  bool refuse_unresponsive = true;
+  // Time between requests that are sent all the same, to learn of servers that
+  // respond again.
+  Duration unresponsive_trial_interval = std::chrono::milliseconds(200);
+
   // Quantile of the reply time after which an attempt is overdue.
   double overdue_quantile = 0.95;
   // Minimum time until an attempt is overdue, as a fraction of the target
@@ -80,6 +87,18 @@
   // Half-life of a server's measured slowness, so that a slow server is
   // eventually tried again.
   Duration slowness_half_life = std::chrono::seconds(2);
+  // Whether a slowness that servers state is used; otherwise, and for servers
+  // that state none, only observed times count.
+  bool use_stated_slowness = true;
+  // Half-life of a stated slowness. Machines change their speed several times a
+  // second, and a spell of 0.6 s has to be detected and its end noticed within
+  // a fraction of it.
+  Duration stated_slowness_half_life = std::chrono::milliseconds(150);
+  // Time constant with which work moves out of a failure domain whose servers
+  // state their slowness: the time after which the effect of a move shows in
+  // the reports, two round trips of 9 ms between domains. With 150 ms, requests
+  // wait for a part of each spell of 0.6 s.
+  Duration crossing_damping = std::chrono::milliseconds(20);
   // Age at which a load report no longer counts.
   Duration load_report_max_age = std::chrono::milliseconds(300);
 };
