--- a/tests/process/process.cc
+++ b/tests/process/process.cc
@@ -11,7 +11,10 @@
 
 #include <chrono>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
+#include <system_error>
 
 namespace gooseberryrock::process_test {
 
@@ -69,6 +72,15 @@
   return kilobytes << 10U;
 }
 
+size_t Process::OpenDescriptors() const {
+  std::error_code ec;
+  const std::filesystem::directory_iterator it(
+      "/proc/" + std::to_string(pid_) + "/fd", ec);
+  return ec ? 0
+            : static_cast<size_t>(
+                  std::distance(begin(it), std::filesystem::end(it)));
+}
+
 std::optional<int> Process::WaitForExit(Duration timeout) {
   if (status_) {
     return status_;
--- a/tests/process/process.h
+++ b/tests/process/process.h
@@ -33,6 +33,8 @@
   // The greatest resident memory that the process has had, in bytes; 0 if it
   // has exited.
   size_t PeakMemory() const;
+  // Number of file descriptors that the process has open; 0 if it has exited.
+  size_t OpenDescriptors() const;
   bool running() { return !WaitForExit(Duration::zero()).has_value(); }
 
  private:
--- a/tests/process/tier_cluster.cc
+++ b/tests/process/tier_cluster.cc
@@ -85,6 +85,14 @@
 
 }  // namespace
 
+TierAddresses EntryAddresses(size_t i) {
+  return {EntryHost(i), kCallerPort, 0, kMetricsPort, kReadyPort, kGatherPort};
+}
+
+TierAddresses ControlAddresses(size_t i) {
+  return {ControlHost(i), 0, kControlPort, kMetricsPort, 0, 0};
+}
+
 TierCluster::TierCluster(const std::string& folder, TierOptions options)
     : folder_(folder), options_(options) {
   std::filesystem::remove_all(folder_);
@@ -202,24 +210,33 @@
   std::ofstream(path) << settings.dump();
 }
 
+std::unique_ptr<Process> TierCluster::Start(std::vector<std::string> arguments,
+                                            const std::string& log_path) const {
+  if (options_.descriptors > 0) {
+    const std::string script = "ulimit -n " +
+                               std::to_string(options_.descriptors) +
+                               " && exec \"$0\" \"$@\"";
+    arguments.insert(arguments.begin(), {"/bin/sh", "-c", script});
+  }
+  return std::make_unique<Process>(arguments, log_path);
+}
+
 void TierCluster::StartControl(size_t i, bool first_start) {
   const std::string name = "control-" + std::to_string(i);
   const std::string data = folder_ + "/" + name;
   std::filesystem::create_directories(data);
   const std::string path = folder_ + "/" + name + ".json";
   WriteSettings(path, name, ControlHost(i), data, first_start);
-  controls_[i] = std::make_unique<Process>(
-      std::vector<std::string>{GBRNODE_PATH, "control", "--settings", path},
-      folder_ + "/" + name + ".log");
+  controls_[i] = Start({GBRNODE_PATH, "control", "--settings", path},
+                       folder_ + "/" + name + ".log");
 }
 
 void TierCluster::StartEntry(size_t i) {
   const std::string name = "entry-" + std::to_string(i);
   const std::string path = folder_ + "/" + name + ".json";
   WriteSettings(path, name, EntryHost(i), "", false);
-  entries_[i] = std::make_unique<Process>(
-      std::vector<std::string>{GBRNODE_PATH, "entry", "--settings", path},
-      folder_ + "/" + name + ".log");
+  entries_[i] = Start({GBRNODE_PATH, "entry", "--settings", path},
+                      folder_ + "/" + name + ".log");
 }
 
 void TierCluster::DeleteControlData(size_t i) {
--- a/tests/process/tier_cluster.h
+++ b/tests/process/tier_cluster.h
@@ -34,8 +34,23 @@
   bool servers_in_first_domain = false;
   // Further numbers in the settings of all nodes.
   std::map<std::string, int> settings = {};
+  // Limit on the open descriptors of each process; 0 leaves the limit of the
+  // test.
+  unsigned descriptors = 0;
 };
 
+// Addresses that the processes of a TierCluster listen on.
+struct TierAddresses {
+  std::string host;
+  uint16_t callers = 0;
+  uint16_t control = 0;
+  uint16_t metrics = 0;
+  uint16_t ready = 0;
+  uint16_t gather = 0;
+};
+TierAddresses EntryAddresses(size_t i);
+TierAddresses ControlAddresses(size_t i);
+
 class TierCluster {
  public:
   // Clears `folder` and starts the processes with their files in it.
@@ -139,6 +154,9 @@
                      const std::string& host,
                      const std::string& data_folder,
                      bool first_start) const;
+  // Starts a program with the limits of the options.
+  std::unique_ptr<Process> Start(std::vector<std::string> arguments,
+                                 const std::string& log_path) const;
   std::string FetchMetrics(const std::string& host);
   void HandleServerRequest(
       size_t server,
