transport: bound the memory and connections of callers

Bodies that stopped short filled the memory of an entry VM. Heads, bodies and requests in progress now count in an account for each thread and server, as their bytes arrive; when it is full the connection with the greatest product of size and age is refused or closed. Connections are limited in total and for each address by the descriptors of the process.

--- a/apps/node/tier_commands.cc
+++ b/apps/node/tier_commands.cc
@@ -4,6 +4,7 @@
 #include "tier_commands.h"
 
 #include <google/protobuf/stubs/logging.h>
+#include <malloc.h>
 
 #include <chrono>
 #include <csignal>
@@ -30,6 +31,7 @@
 #include "gooseberryrock/settings/tier_intervals.h"
 #include "gooseberryrock/settings/tier_settings.h"
 #include "gooseberryrock/telemetry/log_event.h"
+#include "gooseberryrock/transport/caller_limits.h"
 
 namespace gooseberryrock {
 
@@ -48,6 +50,31 @@
 // larger block, it takes three times its size; requests, routes and connections
 // need memory as well.
 constexpr size_t kReplyMemoryDivisor = 4;
+// Part of the memory for requests of callers.
+constexpr size_t kCallerMemoryDivisor = 4;
+// Larger blocks are mapped by themselves, so that the memory of bodies and
+// answers goes back to the system when they are freed; otherwise small blocks
+// that were allocated later keep the heap at its greatest size.
+constexpr int kMapBytes = 64 << 10;
+
+size_t CallerMemoryBytes(const TierSettings& settings) {
+  const size_t bytes = size_t{settings.memory_mb} << 20U;
+  return settings.caller_memory_mb > 0
+             ? size_t{settings.caller_memory_mb} << 20U
+             : bytes / kCallerMemoryDivisor;
+}
+
+// Throws SettingsError if the limits on connections exceed the descriptors.
+transport::ConnectionLimits CallerConnections(const TierSettings& settings) {
+  const size_t descriptors = transport::DescriptorLimit();
+  if (settings.caller_connections >= descriptors) {
+    throw settings::SettingsError(
+        "/caller_connections: must be below the limit on open descriptors, "
+        "which is " +
+        std::to_string(descriptors));
+  }
+  return {settings.caller_connections, settings.caller_connections_per_address};
+}
 
 std::vector<NodeId> ControlVmIds(const TierSettings& settings) {
   std::vector<NodeId> nodes;
@@ -106,6 +133,7 @@
 
 TierSettings LoadSettingsAndInitializeLog(const std::string& path,
                                           TierRole role) {
+  mallopt(M_MMAP_THRESHOLD, kMapBytes);
   TierSettings settings = settings::LoadTierSettings(path, role);
   telemetry::InitializeLog(LogLevel::kInfo);
   // Malformed messages are reported as typed errors. Without this, protobuf
@@ -161,6 +189,8 @@
   entry.io_shards = settings.cores;
   entry.reply_memory_bytes =
       (size_t{settings.memory_mb} << 20U) / kReplyMemoryDivisor;
+  entry.caller_memory_bytes = CallerMemoryBytes(settings);
+  entry.caller_connections = CallerConnections(settings);
   entry.extra_attempts = {settings.extra_attempt_share, settings.extra_attempts,
                           settings.extra_attempt_window};
   entry.stop_time = settings.stop_time;
@@ -193,6 +223,8 @@
   control.data_folder = settings.data_folder;
   control.endpoint = ToEndpoint(settings.control_address);
   control.metrics_endpoint = ToEndpoint(settings.metrics_address);
+  control.caller_memory_bytes = CallerMemoryBytes(settings);
+  control.caller_connections = CallerConnections(settings);
   control.tolerated_losses = settings.tolerated_losses;
   control.replacement_time = settings.replacement_time;
   const settings::TierIntervals intervals =
--- a/libs/control/include/gooseberryrock/control/control_settings.h
+++ b/libs/control/include/gooseberryrock/control/control_settings.h
@@ -3,12 +3,14 @@
 #ifndef GOOSEBERRYROCK_CONTROL_CONTROL_SETTINGS_H_
 #define GOOSEBERRYROCK_CONTROL_CONTROL_SETTINGS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
 
 #include "gooseberryrock/base/ids.h"
 #include "gooseberryrock/base/time.h"
+#include "gooseberryrock/transport/caller_limits.h"
 #include "gooseberryrock/transport/endpoint.h"
 
 namespace gooseberryrock::control {
@@ -32,6 +34,11 @@
   transport::Endpoint endpoint;
   // Endpoint for metrics; disabled if the host is empty.
   transport::Endpoint metrics_endpoint;
+  // Memory that requests of operators and backend servers may take.
+  size_t caller_memory_bytes = size_t{16} << 20U;
+  // Limits on their connections; those that are 0 are derived from the
+  // descriptors of the process.
+  transport::ConnectionLimits caller_connections;
   // Number of simultaneous VM failures that the replicated log must tolerate.
   uint32_t tolerated_losses = 1;
   // Time after the start of a lost VM's successor, or after the return of a VM,
--- a/libs/control/src/control_node.cc
+++ b/libs/control/src/control_node.cc
@@ -106,8 +106,12 @@
   return options;
 }
 
-transport::WebLimits CallLimits() {
+transport::WebLimits CallLimits(const ControlSettings& settings) {
   transport::WebLimits limits;
+  // At the smallest size of a VM an operator's largest request must fit in.
+  limits.held_bytes = std::max(settings.caller_memory_bytes, 2 * kMaxCallBytes);
+  limits.connections = transport::DeriveConnectionLimits(
+      transport::DescriptorLimit(), settings.caller_connections);
   limits.body_bytes = kMaxCallBytes;
   return limits;
 }
@@ -163,7 +167,8 @@
     }
     workers.emplace(kWorkers, kMaxWaitingCalls);
     server.emplace(
-        std::vector<transport::IoThread*>{&io}, settings.endpoint, CallLimits(),
+        std::vector<transport::IoThread*>{&io}, settings.endpoint,
+        CallLimits(settings),
         [this](size_t /*thread*/, std::shared_ptr<transport::Exchange> it) {
           Handle(std::move(it));
         });
@@ -285,6 +290,10 @@
     const peer::PeerStats stats = socket->Stats();
     IncrementTo(metrics, telemetry::Counter::kBadRequests, counted_malformed,
                 server->MalformedRequests());
+    IncrementTo(metrics, telemetry::Counter::kCallersRefused, counted_refused,
+                server->ConnectionsRefused());
+    IncrementTo(metrics, telemetry::Counter::kCallersEvicted, counted_evicted,
+                server->ConnectionsEvicted());
     monitoring::CountPeerFrames(metrics, counted_frames, stats);
     counted_frames = stats;
   }
@@ -574,6 +583,8 @@
   // Used on the I/O thread only.
   peer::PeerStats counted_frames;
   uint64_t counted_malformed = 0;
+  uint64_t counted_refused = 0;
+  uint64_t counted_evicted = 0;
   transport::IoThread io;
   ControlPeers peers;
   claims::SharedCrashHistory crash_history;
--- a/libs/entry/include/gooseberryrock/entry/entry_settings.h
+++ b/libs/entry/include/gooseberryrock/entry/entry_settings.h
@@ -10,6 +10,7 @@
 #include "gooseberryrock/base/ids.h"
 #include "gooseberryrock/base/time.h"
 #include "gooseberryrock/relay/extra_attempt_limit.h"
+#include "gooseberryrock/transport/caller_limits.h"
 #include "gooseberryrock/transport/endpoint.h"
 
 namespace gooseberryrock::entry {
@@ -37,6 +38,11 @@
   unsigned io_shards = 1;
   // Memory that replies may take, from the servers to the callers.
   size_t reply_memory_bytes = size_t{40} << 20U;
+  // Memory that callers' heads, bodies and requests may take.
+  size_t caller_memory_bytes = size_t{40} << 20U;
+  // Limits on callers' connections; those that are 0 are derived from the
+  // descriptors of the process.
+  transport::ConnectionLimits caller_connections;
   relay::ExtraAttemptLimit extra_attempts;
   // Polling of control VMs; one that has not replied for the timeout is not
   // relied on.
--- a/libs/entry/src/entry_node.cc
+++ b/libs/entry/src/entry_node.cc
@@ -45,12 +45,18 @@
 // pass on, and keep a connection to each gathering node that they use.
 constexpr size_t kAddedHeaderBytes = 512;
 constexpr Duration kGatherIdleTimeout = std::chrono::seconds(120);
+// A gathering node gets requests of all nodes, but reads each at once.
+constexpr size_t kGatherMemoryDivisor = 4;
 // Time before the end of the drain by which requests are answered, so that the
 // answers still reach their callers.
 constexpr Duration kAnswerMargin = std::chrono::milliseconds(200);
 
-transport::WebLimits ToWebLimits(const routes::CallerLimits& limits) {
+transport::WebLimits ToWebLimits(const routes::CallerLimits& limits,
+                                 const EntrySettings& settings) {
   transport::WebLimits web;
+  web.held_bytes = settings.caller_memory_bytes;
+  web.connections = transport::DeriveConnectionLimits(
+      transport::DescriptorLimit(), settings.caller_connections);
   web.header_bytes = limits.header_bytes;
   web.body_bytes = limits.body_bytes;
   web.header_timeout = limits.header_timeout;
@@ -60,13 +66,28 @@
 }
 
 // Requests of callers with the fields that nodes add.
-transport::WebLimits ToGatherLimits(const routes::CallerLimits& limits) {
-  transport::WebLimits web = ToWebLimits(limits);
+transport::WebLimits ToGatherLimits(const routes::CallerLimits& limits,
+                                    const EntrySettings& settings) {
+  transport::WebLimits web = ToWebLimits(limits, settings);
+  web.held_bytes /= kGatherMemoryDivisor;
+  // Only entry nodes connect, whose number the deployment bounds.
+  web.connections = {};
+  // A node passes on what it has read whole.
+  web.min_rate.bytes_per_second = 0;
   web.header_bytes += kAddedHeaderBytes;
   web.idle_timeout = kGatherIdleTimeout;
   return web;
 }
 
+// Health checks have no body.
+transport::WebLimits ReadyLimits() {
+  transport::WebLimits limits;
+  limits.body_bytes = size_t{4} << 10U;
+  limits.held_bytes = size_t{1} << 20U;
+  limits.connections = transport::kFewConnections;
+  return limits;
+}
+
 }  // namespace
 
 struct EntryNode::Impl {
@@ -96,14 +117,14 @@
       shards.back()->SetConnectionPlan(std::move(plan));
     }
     callers.emplace(
-        all, settings.caller_endpoint, transport::WebLimits(),
+        all, settings.caller_endpoint, ToWebLimits({}, settings),
         [this](size_t thread, std::shared_ptr<transport::Exchange> it) {
           shards[thread]->Handle(std::move(it));
         },
         memory);
     if (settings.gather_endpoint.port != 0) {
       gather_server.emplace(
-          all, settings.gather_endpoint, transport::WebLimits(),
+          all, settings.gather_endpoint, ToGatherLimits({}, settings),
           [this](size_t thread, std::shared_ptr<transport::Exchange> it) {
             shards[thread]->HandleForwarded(std::move(it));
           },
@@ -112,7 +133,7 @@
     control.emplace(settings, codec, crash_history, Events());
     ready_server.emplace(
         std::vector<transport::IoThread*>{all.front()}, settings.ready_endpoint,
-        transport::WebLimits(),
+        ReadyLimits(),
         [this](size_t /*thread*/,
                const std::shared_ptr<transport::Exchange>& it) {
           AnswerReadyCheck(*it);
@@ -173,6 +194,10 @@
     SetGauge(metrics, Gauge::kReady, IsReady() ? 1 : 0);
     IncrementTo(metrics, telemetry::Counter::kBadRequests, counted_malformed,
                 callers->MalformedRequests());
+    IncrementTo(metrics, telemetry::Counter::kCallersRefused, counted_refused,
+                callers->ConnectionsRefused());
+    IncrementTo(metrics, telemetry::Counter::kCallersEvicted, counted_evicted,
+                callers->ConnectionsEvicted());
     monitoring::CountPeerFrames(metrics, reported_frames, status.frames);
     reported_frames = status.frames;
   }
@@ -213,9 +238,10 @@
             labels.push_back({it.name});
           }
           telemetry::SetServices(metrics, labels);
-          callers->SetLimits(ToWebLimits(table->set.limits));
+          callers->SetLimits(ToWebLimits(table->set.limits, settings));
           if (gather_server) {
-            gather_server->SetLimits(ToGatherLimits(table->set.limits));
+            gather_server->SetLimits(
+                ToGatherLimits(table->set.limits, settings));
           }
         };
     events.on_servers = [this](const std::vector<ServerChange>& changes) {
@@ -259,6 +285,8 @@
   // Used on the first I/O thread only.
   peer::PeerStats reported_frames;
   uint64_t counted_malformed = 0;
+  uint64_t counted_refused = 0;
+  uint64_t counted_evicted = 0;
   uint64_t counted_given_up = 0;
   std::atomic<bool> draining = false;
   claims::SharedCrashHistory crash_history;
--- a/libs/http/src/http_server.cc
+++ b/libs/http/src/http_server.cc
@@ -67,9 +67,16 @@
           R"({"error":"internal","message":"the request failed"})"};
 }
 
+// Memory of requests: several of the operators' largest ones at once. Queries
+// are far smaller.
+constexpr size_t kHeldBytes = size_t{64} << 20U;
+
 transport::WebLimits LimitsOf(const HttpServerOptions& options) {
   transport::WebLimits limits;
   limits.body_bytes = options.max_body_bytes * kReadLimitFactor;
+  limits.held_bytes = std::max(kHeldBytes, 2 * limits.body_bytes);
+  limits.connections =
+      transport::DeriveConnectionLimits(transport::DescriptorLimit(), {});
   return limits;
 }
 
--- a/libs/monitoring/src/metrics_server.cc
+++ b/libs/monitoring/src/metrics_server.cc
@@ -19,6 +19,15 @@
 
 constexpr char kPath[] = "/metrics";
 
+// Requests have no body, and only operators' collectors send them.
+transport::WebLimits MetricsLimits() {
+  transport::WebLimits limits;
+  limits.body_bytes = size_t{4} << 10U;
+  limits.held_bytes = size_t{1} << 20U;
+  limits.connections = transport::kFewConnections;
+  return limits;
+}
+
 bool IsMetricsRequest(const transport::Request& request) {
   return request.method() == http::verb::get && request.target() == kPath;
 }
@@ -34,7 +43,7 @@
         update(std::move(update_gauges)),
         server({&thread},
                endpoint,
-               transport::WebLimits(),
+               MetricsLimits(),
                [this](size_t /*thread*/,
                       const std::shared_ptr<transport::Exchange>& it) {
                  HandleRequest(*it);
--- a/libs/settings/include/gooseberryrock/settings/tier_settings.h
+++ b/libs/settings/include/gooseberryrock/settings/tier_settings.h
@@ -43,6 +43,13 @@
   unsigned cores = 1;
   // Memory of the VM for this process. The default suits the smallest VM.
   unsigned memory_mb = 160;
+  // Part of it that heads, bodies and requests of callers may take; 0 means a
+  // quarter.
+  unsigned caller_memory_mb = 0;
+  // Limits on connections of callers, in total and from each address; 0 means
+  // that they are derived from the limit on open descriptors.
+  unsigned caller_connections = 0;
+  unsigned caller_connections_per_address = 0;
   // Budget for retries and hedges (attempts beyond the first of a request) that
   // all entry nodes together may send to a service in each window: this share
   // of its requests plus a fixed number. The defaults suit the smallest
--- a/libs/settings/src/tier_settings.cc
+++ b/libs/settings/src/tier_settings.cc
@@ -23,6 +23,7 @@
 constexpr Range kStringLength = {0, 4096};
 constexpr Range kCores = {1, 256};
 constexpr Range kMemoryMb = {16, 1048576};
+constexpr Range kCallerConnections = {0, 1048576};
 constexpr Range kToleratedLosses = {0, 5};
 constexpr double kMinSeconds = 1;
 constexpr double kMaxSeconds = 600;
@@ -121,6 +122,29 @@
   return addresses;
 }
 
+// Replies take a quarter of the memory, and the process needs the rest.
+constexpr unsigned kMinMemoryPerCallerMemory = 2;
+
+void ReadCallerLimits(const JsonObject& root, TierSettings& settings) {
+  const auto read = [&root](std::string_view key, Range range) {
+    return static_cast<unsigned>(
+        ReadInteger(root, key, Presence::kOptional, range, 0));
+  };
+  settings.caller_memory_mb = read("caller_memory_mb", {0, kMemoryMb.max});
+  if (settings.caller_memory_mb >
+      settings.memory_mb / kMinMemoryPerCallerMemory) {
+    AddProblem(root, "caller_memory_mb", "must be at most half of memory_mb");
+  }
+  settings.caller_connections = read("caller_connections", kCallerConnections);
+  settings.caller_connections_per_address =
+      read("caller_connections_per_address", kCallerConnections);
+  if (settings.caller_connections != 0 &&
+      settings.caller_connections_per_address > settings.caller_connections) {
+    AddProblem(root, "caller_connections_per_address",
+               "must be at most caller_connections");
+  }
+}
+
 }  // namespace
 
 TierSettings LoadTierSettings(const std::string& path, TierRole role) {
@@ -163,6 +187,7 @@
       ReadInteger(root, "cores", Presence::kOptional, kCores, settings.cores));
   settings.memory_mb = static_cast<unsigned>(ReadInteger(
       root, "memory_mb", Presence::kOptional, kMemoryMb, settings.memory_mb));
+  ReadCallerLimits(root, settings);
   settings.tolerated_losses = static_cast<uint32_t>(
       ReadInteger(root, "tolerated_losses", Presence::kOptional,
                   kToleratedLosses, settings.tolerated_losses));
--- a/libs/telemetry/include/gooseberryrock/telemetry/metric_names.h
+++ b/libs/telemetry/include/gooseberryrock/telemetry/metric_names.h
@@ -35,6 +35,8 @@
   kServerStatementsMalformed,
   kCrashingRequestsRefused,
   kRepliesGivenUp,
+  kCallersRefused,
+  kCallersEvicted,
   kRequestsPassedOn,
   kGatheredForOthers,
   kGatherNodesSilent,
--- a/libs/transport/include/gooseberryrock/transport/web_server.h
+++ b/libs/transport/include/gooseberryrock/transport/web_server.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "gooseberryrock/base/time.h"
+#include "gooseberryrock/transport/caller_limits.h"
 
 namespace gooseberryrock::transport {
 
@@ -28,6 +29,10 @@
   Duration body_timeout = std::chrono::seconds(10);
   // Time after which a connection without a request is closed.
   Duration idle_timeout = std::chrono::seconds(17);
+  // Memory of all heads, bodies, and requests that wait or are in progress.
+  size_t held_bytes = size_t{16} << 20U;
+  ConnectionLimits connections;
+  MinRate min_rate;
 };
 
 class WebServer {
@@ -68,6 +73,11 @@
   // the start.
   uint64_t MalformedRequests() const;
 
+  // Number of connections that were refused or closed because callers took too
+  // much memory, and because there were too many, since the start.
+  uint64_t ConnectionsRefused() const;
+  uint64_t ConnectionsEvicted() const;
+
  private:
   struct Impl;
   std::unique_ptr<Impl> impl_;
--- a/libs/transport/src/message_framing.cc
+++ b/libs/transport/src/message_framing.cc
@@ -75,7 +75,7 @@
 
 }  // namespace
 
-FramingProblem CheckFraming(const Request& request) {
+FramingProblem CheckFraming(const http::request_header<>& request) {
   const bool has_length = request.count(http::field::content_length) +
                               request.count(http::field::transfer_encoding) >
                           0;
--- a/libs/transport/src/message_framing.h
+++ b/libs/transport/src/message_framing.h
@@ -34,7 +34,8 @@
   kUnexpectedBody,
 };
 
-FramingProblem CheckFraming(const Request& request);
+FramingProblem CheckFraming(
+    const boost::beast::http::request_header<>& request);
 FramingProblem CheckFraming(
     const boost::beast::http::response_header<>& response);
 
--- a/libs/transport/src/web_server.cc
+++ b/libs/transport/src/web_server.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "caller_account.h"
 #include "gooseberryrock/base/clock.h"
 #include "gooseberryrock/transport/endpoint.h"
 #include "gooseberryrock/transport/io_thread.h"
@@ -36,6 +37,8 @@
   size_t index = 0;
   // Null if the memory for responses is not limited.
   ReplyMemory* memory = nullptr;
+  // Shared with the sessions, which may outlive the server.
+  std::shared_ptr<CallerAccount> account = std::make_shared<CallerAccount>();
   // Used on the thread only.
   WebSessionList sessions;
 
@@ -65,6 +68,7 @@
         accept_retry_timer(threads.front()->context()) {
     shared->handler = std::move(handler);
     shared->limits = limits;
+    shared->threads = threads.size();
     for (IoThread* it : threads) {
       states.push_back(std::make_shared<ThreadState>());
       states.back()->thread = it;
@@ -128,8 +132,8 @@
   void AddSession(const std::shared_ptr<ThreadState>& state,
                   asio::ip::tcp::socket socket) {
     SetSocketOptions(socket);
-    auto session = std::make_shared<WebSession>(std::move(socket), state->index,
-                                                state->memory, shared);
+    auto session = std::make_shared<WebSession>(
+        std::move(socket), state->index, state->memory, state->account, shared);
     auto start = [state, session] {
       state->sessions.push_back(session);
       session->Start();
@@ -196,4 +200,12 @@
   return impl_->shared->malformed_requests;
 }
 
+uint64_t WebServer::ConnectionsRefused() const {
+  return impl_->shared->refused;
+}
+
+uint64_t WebServer::ConnectionsEvicted() const {
+  return impl_->shared->evicted;
+}
+
 }  // namespace gooseberryrock::transport
--- a/libs/transport/src/web_session.cc
+++ b/libs/transport/src/web_session.cc
@@ -9,6 +9,9 @@
 #include <string>
 #include <utility>
 
+#include <boost/asio/post.hpp>
+
+#include "caller_account.h"
 #include "gooseberryrock/base/clock.h"
 #include "gooseberryrock/telemetry/log_event.h"
 #include "message_framing.h"
@@ -35,6 +38,12 @@
 constexpr size_t kMaxDiscardedBody = (size_t{4} << 20U) + (size_t{64} << 10U);
 constexpr size_t kMaxDiscardedBytes = size_t{256} << 10U;
 
+// Bytes that are read at once, and reads before other connections have a turn.
+constexpr size_t kReadBytes = size_t{16} << 10U;
+constexpr int kMaxReads = 4;
+// Memory of a stored field beside its name and value.
+constexpr size_t kFieldBytes = 96;
+
 constexpr char kInterimStatusLine[] = "HTTP/1.1 102 Processing\r\n";
 
 http::status StatusOf(const ErrorCode& ec) {
@@ -47,11 +56,6 @@
   return http::status::bad_request;
 }
 
-bool IsParseError(const ErrorCode& ec) {
-  return ec.category() == http::make_error_code(http::error{}).category() &&
-         ec != http::error::end_of_stream && ec != http::error::partial_message;
-}
-
 }  // namespace
 
 Exchange::Exchange(std::shared_ptr<WebSession> session,
@@ -92,22 +96,39 @@
 WebSession::WebSession(asio::ip::tcp::socket socket,
                        size_t thread,
                        ReplyMemory* memory,
+                       std::shared_ptr<CallerAccount> account,
                        std::shared_ptr<WebServerShared> shared)
     : socket_(std::move(socket)),
       thread_(thread),
       shared_(std::move(shared)),
+      account_(std::move(account)),
       buffer_(kMaxBufferedBytes),
       memory_(memory) {
   ++shared_->open_connections;
 }
 
 WebSession::~WebSession() {
+  Close();
   --shared_->open_connections;
 }
 
 void WebSession::Start() {
-  deadline_ = BootTime() + shared_->Limits().idle_timeout;
-  WaitForData();
+  const WebLimits limits = shared_->Limits();
+  since_ = BootTime();
+  deadline_ = since_ + limits.idle_timeout;
+  ErrorCode ec;
+  const auto remote = socket_.remote_endpoint(ec);
+  if (!ec) {
+    address_ = remote.address().to_string();
+  }
+  const auto part = [this](size_t n) {
+    return (n + shared_->threads - 1) / shared_->threads;
+  };
+  account_->Add(*this, {part(limits.connections.total),
+                        part(limits.connections.per_address)});
+  if (state_ != State::kClosed) {
+    WaitForData();
+  }
 }
 
 void WebSession::WaitForData() {
@@ -127,10 +148,14 @@
 void WebSession::OnReadable() {
   if (state_ == State::kIdle) {
     ReadHeader();
+  } else if (state_ == State::kReading) {
+    ReadInput();
   } else if (state_ == State::kBusy) {
     CheckCallerDisconnected();
   } else if (state_ == State::kWriting) {
     data_pending_ = true;
+  } else if (state_ == State::kLingering) {
+    DiscardInput();
   }
 }
 
@@ -138,65 +163,181 @@
   state_ = State::kReading;
   data_pending_ = false;
   const WebLimits limits = shared_->Limits();
-  deadline_ = BootTime() + limits.header_timeout;
+  since_ = BootTime();
+  body_since_ = SteadyTime::max();
+  body_received_ = 0;
+  deadline_ = since_ + limits.header_timeout;
   parser_.emplace();
   parser_->header_limit(static_cast<uint32_t>(limits.header_bytes));
   parser_->body_limit(limits.body_bytes);
-  http::async_read_header(
-      socket_, buffer_, *parser_,
-      [self = shared_from_this()](const ErrorCode& ec, size_t) {
-        if (self->state_ == State::kClosed) {
-          return;
-        }
-        if (ec) {
-          IsParseError(ec) ? self->RespondToError(StatusOf(ec), ec.message())
-                           : self->Close();
-          return;
-        }
-        self->ReadBody();
-      });
+  if (buffer_.size() == 0 || ParseInput()) {
+    ReadInput();
+  }
+}
+
+// Reads only what has arrived, so that a connection that waits needs no memory
+// for reading.
+void WebSession::ReadInput() {
+  std::array<char, kReadBytes> bytes;
+  for (int i = 0; i < kMaxReads && state_ == State::kReading; ++i) {
+    const size_t room =
+        std::min(bytes.size(), kMaxBufferedBytes - buffer_.size());
+    const ssize_t n =
+        recv(socket_.native_handle(), bytes.data(), room, MSG_DONTWAIT);
+    if (n < 0 && errno == EINTR) {
+      continue;
+    }
+    if (n < 0 && errno == EAGAIN) {
+      break;
+    }
+    if (n <= 0) {
+      Close();
+      return;
+    }
+    const auto size = static_cast<size_t>(n);
+    std::copy_n(bytes.data(), size,
+                static_cast<char*>(buffer_.prepare(size).data()));
+    buffer_.commit(size);
+    if (body_since_ != SteadyTime::max()) {
+      body_received_ += size;
+    }
+    if (!ParseInput()) {
+      return;
+    }
+  }
+  if (state_ == State::kReading) {
+    WaitForData();
+  }
 }
 
-void WebSession::ReadBody() {
-  const FramingProblem problem = CheckFraming(parser_->get());
+bool WebSession::ParseInput() {
+  ErrorCode ec;
+  while (buffer_.size() > 0 && !parser_->is_done()) {
+    const bool had_header = parser_->is_header_done();
+    buffer_.consume(parser_->put(buffer_.data(), ec));
+    if (ec == http::error::need_more) {
+      if (buffer_.size() < kMaxBufferedBytes) {
+        break;
+      }
+      ec = http::error::buffer_overflow;
+    }
+    if (ec) {
+      RespondToError(StatusOf(ec), ec.message());
+      return false;
+    }
+    if (!had_header && parser_->is_header_done() && !CheckHeader()) {
+      return false;
+    }
+  }
+  if (!parser_->is_done()) {
+    FreeLargeBuffer(buffer_);
+  }
+  SetHeld(CountHeld());
+  if (state_ != State::kReading) {
+    return false;
+  }
+  if (parser_->is_done()) {
+    Dispatch();
+    return false;
+  }
+  return true;
+}
+
+bool WebSession::CheckHeader() {
+  const auto& header = parser_->get().base();
+  const FramingProblem problem = CheckFraming(header);
   if (problem != FramingProblem::kNone) {
     RespondToError(problem == FramingProblem::kUnknownCoding
                        ? http::status::not_implemented
                        : http::status::bad_request,
                    FramingProblemName(problem));
-    return;
-  }
-  if (parser_->is_done()) {
-    Dispatch();
-    return;
+    return false;
   }
+  const WebLimits limits = shared_->Limits();
   const auto length = parser_->content_length();
-  if (length && *length > shared_->Limits().body_bytes) {
+  if (length && *length > limits.body_bytes) {
     RespondToError(http::status::payload_too_large, "too_large");
+    return false;
+  }
+  parser_->eager(true);
+  body_since_ = BootTime();
+  deadline_ = body_since_ + limits.body_timeout;
+  return true;
+}
+
+size_t WebSession::CountHeld() const {
+  // Fields are stored one by one, each with a node of its own.
+  size_t bytes = buffer_.capacity() + parser_->get().body().capacity();
+  for (const auto& it : parser_->get().base()) {
+    bytes += kFieldBytes + it.name_string().size() + it.value().size();
+  }
+  return bytes;
+}
+
+void WebSession::SetHeld(size_t bytes) {
+  if (bytes != held_) {
+    const size_t before = std::exchange(held_, bytes);
+    account_->Resize(before, bytes,
+                     shared_->Limits().held_bytes / shared_->threads);
+  }
+}
+
+void WebSession::FreeRequest() {
+  parser_.reset();
+  buffer_.clear();
+  buffer_.shrink_to_fit();
+  SetHeld(0);
+}
+
+ConnectionUse WebSession::Use(SteadyTime now) const {
+  return {held_, now - since_, address_};
+}
+
+void WebSession::Refuse() {
+  ++shared_->refused;
+  telemetry::LogEvent(telemetry::LogLevel::kWarning, "caller_refused",
+                      {{"reason", "memory"},
+                       {"address", address_},
+                       {"bytes", std::to_string(held_)}});
+  if (state_ != State::kReading) {
+    CloseRequest();
     return;
   }
-  deadline_ = BootTime() + shared_->Limits().body_timeout;
-  http::async_read(socket_, buffer_, *parser_,
-                   [self = shared_from_this()](const ErrorCode& ec, size_t) {
-                     if (self->state_ == State::kClosed) {
-                       return;
-                     }
-                     if (ec) {
-                       IsParseError(ec)
-                           ? self->RespondToError(StatusOf(ec), ec.message())
-                           : self->Close();
-                       return;
-                     }
-                     self->Dispatch();
-                   });
+  FreeRequest();
+  state_ = State::kBusy;
+  Respond(Response(http::status::service_unavailable, 11),
+          /*caller_keeps_alive=*/false);
+}
+
+void WebSession::Evict() {
+  ++shared_->evicted;
+  telemetry::LogEvent(telemetry::LogLevel::kWarning, "caller_evicted",
+                      {{"reason", "connections"}, {"address", address_}});
+  CloseRequest();
+}
+
+void WebSession::CloseRequest() {
+  std::function<void()> on_disconnected;
+  if (auto exchange = exchange_.lock()) {
+    on_disconnected = std::exchange(exchange->on_disconnected_, nullptr);
+  }
+  Close();
+  if (on_disconnected) {
+    // The caller of this function goes through the connections.
+    asio::post(socket_.get_executor(), std::move(on_disconnected));
+  }
 }
 
 void WebSession::Dispatch() {
   state_ = State::kBusy;
   // The handler limits the duration of a request.
   deadline_ = SteadyTime::max();
-  auto exchange = std::make_shared<Exchange>(shared_from_this(),
-                                             parser_->release(), BootTime());
+  auto message = parser_->release();
+  parser_.reset();
+  auto exchange = std::make_shared<Exchange>(
+      shared_from_this(),
+      Request(std::move(message.base()), std::move(message.body())),
+      BootTime());
   exchange_ = exchange;
   if (buffer_.size() == 0) {
     // A request may arrive together with the end of its connection, for example
@@ -239,6 +380,7 @@
   if (status == http::status::payload_too_large) {
     max_discarded_ = kMaxDiscardedBody;
   }
+  FreeRequest();
   state_ = State::kBusy;
   Response response(status, 11);
   Respond(std::move(response), /*caller_keeps_alive=*/false);
@@ -269,6 +411,8 @@
   response_ = std::move(response);
   response_.keep_alive(keep_alive);
   response_.prepare_payload();
+  // The request is over; its answer is accounted for as a reply.
+  SetHeld(0);
   reservation_.Start(memory_, "callers", [this] { GiveUpResponse(); });
   if (!reservation_.Resize(response_.body().capacity())) {
     return;
@@ -296,7 +440,8 @@
     return;
   }
   state_ = State::kIdle;
-  deadline_ = BootTime() + shared_->Limits().idle_timeout;
+  since_ = BootTime();
+  deadline_ = since_ + shared_->Limits().idle_timeout;
   if (buffer_.size() > 0 || data_pending_) {
     ReadHeader();
   } else {
@@ -313,6 +458,8 @@
 void WebSession::Linger() {
   state_ = State::kLingering;
   max_discarded_ = std::max(max_discarded_, kMaxDiscardedBytes);
+  FreeRequest();
+  since_ = BootTime();
   deadline_ = BootTime() + kLingerTimeout;
   ErrorCode ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
@@ -320,23 +467,27 @@
 }
 
 void WebSession::DiscardInput() {
-  buffer_.clear();
-  constexpr size_t kChunk = size_t{16} << 10U;
-  socket_.async_read_some(
-      buffer_.prepare(kChunk),
-      [self = shared_from_this()](const ErrorCode& ec, size_t n) {
-        self->discarded_bytes_ += n;
-        if (ec || self->discarded_bytes_ > self->max_discarded_) {
-          self->Close();
-        } else if (self->state_ != State::kClosed) {
-          self->DiscardInput();
-        }
-      });
+  std::array<char, kReadBytes> bytes;
+  const ssize_t n =
+      recv(socket_.native_handle(), bytes.data(), bytes.size(), MSG_DONTWAIT);
+  if (n > 0) {
+    discarded_bytes_ += static_cast<size_t>(n);
+  }
+  const bool over = n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+  if (over || discarded_bytes_ > max_discarded_) {
+    Close();
+  } else {
+    WaitForData();
+  }
 }
 
 void WebSession::CheckDeadline(SteadyTime now) {
   if (now >= deadline_) {
     Close();
+  } else if (state_ == State::kReading && body_since_ != SteadyTime::max() &&
+             IsTooSlow(body_received_, now - body_since_,
+                       shared_->Limits().min_rate)) {
+    RespondToError(http::status::request_timeout, "too_slow");
   }
 }
 
@@ -357,6 +508,8 @@
     return;
   }
   state_ = State::kClosed;
+  FreeRequest();
+  account_->Remove(*this);
   ErrorCode ignored;
   socket_.close(ignored);
 }
--- a/libs/transport/src/web_session.h
+++ b/libs/transport/src/web_session.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -21,6 +22,7 @@
 #include "gooseberryrock/transport/http_message.h"
 #include "gooseberryrock/transport/memory_reservation.h"
 #include "gooseberryrock/transport/web_server.h"
+#include "growing_body.h"
 
 namespace gooseberryrock::transport {
 
@@ -30,6 +32,10 @@
   std::atomic<bool> draining = false;
   std::atomic<size_t> open_connections = 0;
   std::atomic<uint64_t> malformed_requests = 0;
+  std::atomic<uint64_t> refused = 0;
+  std::atomic<uint64_t> evicted = 0;
+  // The limits apply to each thread in equal parts.
+  size_t threads = 1;
 
   WebLimits Limits() const {
     std::lock_guard lock(mutex);
@@ -41,6 +47,7 @@
   WebLimits limits;
 };
 
+class CallerAccount;
 class WebSession;
 
 // The sessions of one thread; used on that thread only.
@@ -53,6 +60,7 @@
   WebSession(boost::asio::ip::tcp::socket socket,
              size_t thread,
              ReplyMemory* memory,
+             std::shared_ptr<CallerAccount> account,
              std::shared_ptr<WebServerShared> shared);
   WebSession(const WebSession&) = delete;
   WebSession& operator=(const WebSession&) = delete;
@@ -69,13 +77,30 @@
   bool IsClosed() const { return state_ == State::kClosed; }
   void Close();
 
+  ConnectionUse Use(SteadyTime now) const;
+  // Gives up the memory of the request: it is refused if it was not handed on,
+  // otherwise the connection is closed.
+  void Refuse();
+  // Closes the connection to make room for another one.
+  void Evict();
+
  private:
   enum class State { kIdle, kReading, kBusy, kWriting, kLingering, kClosed };
 
   void WaitForData();
   void OnReadable();
   void ReadHeader();
-  void ReadBody();
+  void ReadInput();
+  // Parse what was read, and return whether more must be read.
+  bool ParseInput();
+  bool CheckHeader();
+  // Accounts for the memory of the request.
+  void SetHeld(size_t bytes);
+  size_t CountHeld() const;
+  // Frees the memory of what was read.
+  void FreeRequest();
+  // Closes the connection and tells the handler of the request in progress.
+  void CloseRequest();
   void Dispatch();
   // `reason` is for the log and must not contain bytes of the request.
   void RespondToError(boost::beast::http::status status,
@@ -95,10 +120,18 @@
   // Whether data arrived while a request was in progress.
   bool data_pending_ = false;
   SteadyTime deadline_;
+  // Start of the request or of the idle time.
+  SteadyTime since_;
+  // Start of the body; max() before.
+  SteadyTime body_since_ = SteadyTime::max();
+  size_t body_received_ = 0;
+  const std::shared_ptr<CallerAccount> account_;
+  // IP address of the caller.
+  std::string address_;
+  // Memory in `account_`.
+  size_t held_ = 0;
   boost::beast::flat_buffer buffer_;
-  std::optional<
-      boost::beast::http::request_parser<boost::beast::http::string_body>>
-      parser_;
+  std::optional<boost::beast::http::request_parser<GrowingBody>> parser_;
   // The request in progress.
   std::weak_ptr<Exchange> exchange_;
   Response response_;
