--- a/tests/settings/tier_settings_test.cc
+++ b/tests/settings/tier_settings_test.cc
@@ -41,6 +41,20 @@
   EXPECT_THROW(Load(R"(, "replacement_time_s": 2)"), SettingsError);
 }
 
+// Guards against limits on callers that contradict each other or the memory.
+TEST_F(TierSettingsTest, ContradictingCallerLimitsAreRefused) {
+  EXPECT_EQ(Load("").caller_connections, 0U);
+  EXPECT_EQ(Load(R"(, "caller_memory_mb": 80)").caller_memory_mb, 80U);
+  EXPECT_THROW(Load(R"(, "caller_memory_mb": 81)"), SettingsError);
+  EXPECT_THROW(Load(R"(, "caller_connections": 10,
+                       "caller_connections_per_address": 11)"),
+               SettingsError);
+  EXPECT_EQ(Load(R"(, "caller_connections": 10,
+                    "caller_connections_per_address": 10)")
+                .caller_connections_per_address,
+            10U);
+}
+
 // Guards against intervals that are longer than a bound which they have to
 // meet: a change must reach a node although two polls are lost, and a server
 // that left while all VMs were down must not be used for longer than the
