--- a/libs/telemetry/include/gooseberryrock/telemetry/metric_names.h
+++ b/libs/telemetry/include/gooseberryrock/telemetry/metric_names.h
@@ -37,6 +37,8 @@
   kServerStatementsMalformed,
   kCrashingRequestsRefused,
   kRepliesGivenUp,
+  kCallersRefused,
+  kCallersEvicted,
   kRequestsPassedOn,
   kGatheredForOthers,
   kGatherNodesSilent,
