directory: record whether a server is cold

Announcements carry a boolean and a sequence number. Only a change between cold and warm keeps its number, so neither a countdown nor the number of each announcement changes the directory, and a late announcement reverts nothing.

--- a/libs/control/src/registry.cc
+++ b/libs/control/src/registry.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "gooseberryrock/directory/cold_server.h"
 #include "gooseberryrock/directory/merge_record.h"
 #include "gooseberryrock/peer/frame.h"
 #include "gooseberryrock/proto/binary_codec.h"
@@ -49,7 +50,9 @@
                         const std::vector<NodeId>& peers,
                         SteadyTime now) {
   std::lock_guard lock(mutex_);
-  if (!directory::AcceptAnnouncement(directory_, record, self_, now)) {
+  if (!directory::AcceptAnnouncement(
+          directory_, directory::NumberColdChange(directory_, record), self_,
+          now)) {
     return;
   }
   telemetry::LogEvent(
@@ -57,6 +60,7 @@
       {{"server", record.id.value},
        {"service", record.service.value},
        {"state", std::string(directory::ServerStateName(record.state))},
+       {"cold", record.cold ? "true" : "false"},
        {"incarnation", std::to_string(record.incarnation)}});
   SendDeltas(peers);
 }
--- a/libs/directory/include/gooseberryrock/directory/server_record.h
+++ b/libs/directory/include/gooseberryrock/directory/server_record.h
@@ -32,6 +32,8 @@
   uint32_t slots = 1;
   // Maximum number of connections from all nodes together.
   uint32_t connection_limit = 1;
+  // The server takes fewer requests until it has warmed up.
+  bool cold = false;
   // The node that received the last announcement; only it may expire the
   // server.
   NodeId owner;
--- a/libs/directory/src/directory.cc
+++ b/libs/directory/src/directory.cc
@@ -113,6 +113,10 @@
   AppendNumber(buf, record.connection_limit);
   AppendText(buf, record.owner.value);
   AppendNumber(buf, record.owner_epoch);
+  // Nodes of earlier releases compute the same hash for warm servers.
+  if (record.cold) {
+    AppendNumber(buf, 1);
+  }
   return Hash64(buf);
 }
 
--- a/libs/proto/src/convert_directory.cc
+++ b/libs/proto/src/convert_directory.cc
@@ -38,6 +38,7 @@
   }
   message.set_slots(record.slots);
   message.set_connection_limit(record.connection_limit);
+  message.set_cold(record.cold);
   return message;
 }
 
--- a/libs/proto/src/convert_server_record.cc
+++ b/libs/proto/src/convert_server_record.cc
@@ -81,6 +81,7 @@
   }
   record.slots = message.slots();
   record.connection_limit = message.connection_limit();
+  record.cold = message.cold();
   return record;
 }
 
