control: store which failure domains an operator evacuates

Orders are entries of the replicated log. Each names the number of orders applied before it, so that one which was delayed in a link or at a suspended VM cannot undo a later one that was acknowledged. Control VMs pass the set on in replies to polls, and say whether the leader confirmed it since their start.

--- a/libs/control/include/gooseberryrock/control/control_call.h
+++ b/libs/control/include/gooseberryrock/control/control_call.h
@@ -9,6 +9,7 @@
 
 #include "gooseberryrock/base/ids.h"
 #include "gooseberryrock/directory/server_record.h"
+#include "gooseberryrock/routes/evacuation.h"
 
 namespace gooseberryrock::control {
 
@@ -32,6 +33,12 @@
 
 struct ReadRoutesCall {};
 
+// An operator starts or finishes the evacuation of a failure domain.
+struct EvacuateCall {
+  FailureDomain domain;
+  routes::EvacuationAction action = routes::EvacuationAction::kStart;
+};
+
 // The call cannot be decoded; `error` is the reason.
 struct MalformedCall {
   std::string error;
@@ -44,6 +51,7 @@
                                  WithdrawCall,
                                  PutRoutesCall,
                                  ReadRoutesCall,
+                                 EvacuateCall,
                                  MalformedCall,
                                  UnknownCall>;
 
--- a/libs/control/include/gooseberryrock/control/control_machine.h
+++ b/libs/control/include/gooseberryrock/control/control_machine.h
@@ -1,4 +1,5 @@
-// Replicated state machine of the control VMs: catalog, claims and routes.
+// Replicated state machine of the control VMs: catalog, claims, routes and
+// evacuated failure domains.
 
 #ifndef GOOSEBERRYROCK_CONTROL_CONTROL_MACHINE_H_
 #define GOOSEBERRYROCK_CONTROL_CONTROL_MACHINE_H_
@@ -11,6 +12,7 @@
 #include "gooseberryrock/catalog/catalog.h"
 #include "gooseberryrock/claims/claims.h"
 #include "gooseberryrock/control/state_machine.h"
+#include "gooseberryrock/routes/evacuation.h"
 
 namespace gooseberryrock::control {
 
@@ -26,6 +28,7 @@
   catalog::Catalog catalog;
   claims::ClaimsState claims;
   StoredRoutes routes;
+  routes::EvacuatedDomains evacuated;
 };
 
 // Applies an encoded ControlEntry and returns an encoded ForwardReply. A
@@ -39,12 +42,14 @@
 ControlState DecodeSnapshot(std::string_view data);
 
 // Creates a StateMachine that operates on `state`, which must outlive it.
-// `on_catalog` and `on_routes` are called after each change of the catalog or
-// the routes.
+// `on_catalog`, `on_routes` and `on_evacuation` are called after each change of
+// the catalog, the routes or the evacuated domains.
 StateMachine MakeStateMachine(
     ControlState& state,
     const std::function<void(const catalog::Catalog&)>& on_catalog,
-    const std::function<void(const StoredRoutes&)>& on_routes);
+    const std::function<void(const StoredRoutes&)>& on_routes,
+    const std::function<void(const routes::EvacuatedDomains&)>& on_evacuation =
+        [](const auto& /*evacuated*/) {});
 
 }  // namespace gooseberryrock::control
 
--- a/libs/control/src/control_client.cc
+++ b/libs/control/src/control_client.cc
@@ -54,6 +54,9 @@
     case proto::ForwardRequest::kPutRoutes:
       *entry.mutable_put_routes() = request.put_routes();
       break;
+    case proto::ForwardRequest::kEvacuation:
+      *entry.mutable_evacuation() = request.evacuation();
+      break;
     default:
       break;
   }
@@ -235,7 +238,7 @@
         ToChange(request.membership()),
         [finish](const SubmitResult& it) { finish(MembershipReply(it)); });
   } else if (request.has_read() || request.has_read_routes() ||
-             request.has_confirm_routes()) {
+             request.has_confirm_routes() || request.has_read_evacuation()) {
     log_->Read([this, request] { return read_(request); },
                [finish](const SubmitResult& it) { finish(EntryReply(it)); });
   } else {
--- a/libs/control/src/control_machine.cc
+++ b/libs/control/src/control_machine.cc
@@ -11,6 +11,7 @@
 #include "gooseberryrock/proto/binary_codec.h"
 #include "gooseberryrock/proto/convert_catalog.h"
 #include "gooseberryrock/proto/convert_claims.h"
+#include "gooseberryrock/proto/convert_evacuation.h"
 #include "gooseberryrock/proto/malformed_message_error.h"
 #include "peer.pb.h"
 
@@ -72,6 +73,13 @@
   return reply;
 }
 
+proto::EvacuationReply Apply(ControlState& state,
+                             const proto::EvacuationOrder& order) {
+  const auto result =
+      routes::ApplyOrder(state.evacuated, proto::FromMessage(order));
+  return proto::ToMessage(result, state.evacuated.version);
+}
+
 proto::ForwardReply Apply(ControlState& state,
                           const proto::ControlEntry& entry) {
   const WallTime leader_time = ToWallTime(entry.leader_wall_ms());
@@ -92,6 +100,9 @@
     case proto::ControlEntry::kPutRoutes:
       *reply.mutable_put_routes() = Apply(state, entry.put_routes());
       break;
+    case proto::ControlEntry::kEvacuation:
+      *reply.mutable_evacuation() = Apply(state, entry.evacuation());
+      break;
     case proto::ControlEntry::CALL_NOT_SET:
       break;
   }
@@ -168,6 +179,7 @@
   snapshot.set_log_time_ms(FromWallTime(state.claims.log_time));
   snapshot.mutable_routes()->set_version(state.routes.version);
   snapshot.mutable_routes()->set_compressed_text(state.routes.compressed_text);
+  *snapshot.mutable_evacuated() = proto::ToMessage(state.evacuated);
   return snapshot.SerializeAsString();
 }
 
@@ -187,17 +199,21 @@
   state.claims.log_time = ToWallTime(snapshot.log_time_ms());
   state.routes = {snapshot.routes().version(),
                   snapshot.routes().compressed_text()};
+  state.evacuated = proto::FromMessage(snapshot.evacuated());
   return state;
 }
 
 StateMachine MakeStateMachine(
     ControlState& state,
     const std::function<void(const catalog::Catalog&)>& on_catalog,
-    const std::function<void(const StoredRoutes&)>& on_routes) {
+    const std::function<void(const StoredRoutes&)>& on_routes,
+    const std::function<void(const routes::EvacuatedDomains&)>& on_evacuation) {
   StateMachine machine;
-  machine.apply = [&state, on_catalog, on_routes](std::string_view payload) {
+  machine.apply = [&state, on_catalog, on_routes,
+                   on_evacuation](std::string_view payload) {
     const uint64_t version = state.catalog.version;
     const uint64_t routes_version = state.routes.version;
+    const uint64_t evacuation_version = state.evacuated.version;
     std::string reply = ApplyEntry(state, payload);
     if (state.catalog.version != version) {
       on_catalog(state.catalog);
@@ -205,14 +221,19 @@
     if (state.routes.version != routes_version) {
       on_routes(state.routes);
     }
+    if (state.evacuated.version != evacuation_version) {
+      on_evacuation(state.evacuated);
+    }
     return reply;
   };
   machine.snapshot = [&state] { return EncodeSnapshot(state); };
   machine.reset = [&state] { state = {}; };
-  machine.restore = [&state, on_catalog, on_routes](std::string_view data) {
+  machine.restore = [&state, on_catalog, on_routes,
+                     on_evacuation](std::string_view data) {
     state = DecodeSnapshot(data);
     on_catalog(state.catalog);
     on_routes(state.routes);
+    on_evacuation(state.evacuated);
   };
   return machine;
 }
--- a/libs/control/src/control_node.cc
+++ b/libs/control/src/control_node.cc
@@ -14,6 +14,8 @@
 #include <vector>
 
 #include "control_peers.h"
+#include "evacuation_calls.h"
+#include "evacuation_view.h"
 #include "gooseberryrock/base/clock.h"
 #include "gooseberryrock/base/hash.h"
 #include "gooseberryrock/claims/shared_crash_history.h"
@@ -33,6 +35,7 @@
 #include "gooseberryrock/peer/peer_socket.h"
 #include "gooseberryrock/proto/binary_codec.h"
 #include "gooseberryrock/proto/convert_claims.h"
+#include "gooseberryrock/proto/convert_evacuation.h"
 #include "gooseberryrock/proto/malformed_message_error.h"
 #include "gooseberryrock/storage/file_operations.h"
 #include "gooseberryrock/storage/server_list.h"
@@ -79,6 +82,8 @@
 constexpr Duration kCrashNoticeTime = std::chrono::seconds(3);
 // Limits the size of a frame.
 constexpr size_t kMaxCrashNotices = 64;
+// Bounds the delay of a stop by a read without a leader.
+constexpr Duration kReadTimeout = std::chrono::milliseconds(500);
 constexpr Duration kStopCheck = std::chrono::milliseconds(20);
 
 peer::PeerSocketOptions SocketOptions(const ControlSettings& settings,
@@ -136,7 +141,10 @@
     log.emplace(LogOptions(settings),
                 MakeStateMachine(
                     state, [](const auto& /*catalog*/) {},
-                    [this](const StoredRoutes& it) { OnStoredRoutes(it); }),
+                    [this](const StoredRoutes& it) { OnStoredRoutes(it); },
+                    [this](const routes::EvacuatedDomains& it) {
+                      evacuation.OnApplied(it);
+                    }),
                 [this](const NodeId& to, std::string body) {
                   socket->Send(to, peer::FrameKind::kConsensus,
                                std::move(body));
@@ -162,6 +170,7 @@
       started = true;
     }
     workers.emplace(kWorkers, kMaxWaitingCalls);
+    workers->Post([this] { LearnEvacuation(); });
     server.emplace(
         std::vector<transport::IoThread*>{&io}, settings.endpoint, CallLimits(),
         [this](size_t /*thread*/, std::shared_ptr<transport::Exchange> it) {
@@ -221,6 +230,8 @@
     } else if (std::holds_alternative<ReadRoutesCall>(call)) {
       RunCall(std::move(exchange),
               [this] { return ReadRoutes(RouteContext()); });
+    } else if (const auto* evacuate = std::get_if<EvacuateCall>(&call)) {
+      RunEvacuation(std::move(exchange), *evacuate);
     } else if (const auto* malformed = std::get_if<MalformedCall>(&call)) {
       telemetry::LogEvent(LogLevel::kWarning, "call_malformed",
                           {{"error", malformed->error}});
@@ -259,6 +270,31 @@
     }
   }
 
+  void RunEvacuation(std::shared_ptr<transport::Exchange> exchange,
+                     const EvacuateCall& call) {
+    auto caller_gone = std::make_shared<std::atomic<bool>>(false);
+    exchange->OnCallerDisconnected([caller_gone] { *caller_gone = true; });
+    RunCall(std::move(exchange), [this, call, caller_gone] {
+      return Evacuate(
+          {codec, *client, [caller_gone] { return caller_gone->load(); }},
+          call);
+    });
+  }
+
+  // Asks until the leader answers. On a worker thread.
+  void LearnEvacuation() {
+    while (!evacuation.is_known() && !IsStopping()) {
+      if (const auto evacuated = ReadEvacuation(*client, kReadTimeout)) {
+        evacuation.OnConfirmed(*evacuated);
+      }
+    }
+  }
+
+  bool IsStopping() {
+    std::lock_guard lock(mutex);
+    return stopping;
+  }
+
   RouteCallContext RouteContext() { return {codec, *client, *log, metrics}; }
 
   // On the I/O thread.
@@ -298,6 +334,10 @@
       reply.mutable_newest_routes()->set_version(state.routes.version);
       return reply.SerializeAsString();
     }
+    if (call.has_read_evacuation()) {
+      *reply.mutable_evacuated() = proto::ToMessage(state.evacuated);
+      return reply.SerializeAsString();
+    }
     reply.mutable_routes()->set_version(state.routes.version);
     reply.mutable_routes()->set_compressed_text(state.routes.compressed_text);
     return reply.SerializeAsString();
@@ -379,6 +419,7 @@
     registry.AnswerPoll(poll, reply, now);
     ExchangeCrashes(poll, reply, now);
     route_confirmer->AnswerPoll(poll, reply, now);
+    evacuation.AnswerPoll(poll, reply);
     for (const NodeId& it : peers.Vms()) {
       reply.add_control_vms(it.value);
     }
@@ -577,6 +618,7 @@
   transport::IoThread io;
   ControlPeers peers;
   claims::SharedCrashHistory crash_history;
+  EvacuationView evacuation;
   std::optional<peer::PeerSocket> socket;
   Registry registry;
   std::optional<ReplicatedLog> log;
