platform: read evacuation orders, cold servers and their rates

POST /v1/evacuation/<domain>/start and /finish, the time that a server still needs to warm up, and the rate of cold servers of a service.

--- a/libs/routes/include/gooseberryrock/routes/route_set.h
+++ b/libs/routes/include/gooseberryrock/routes/route_set.h
@@ -19,6 +19,11 @@
 struct RoutedService {
   // Maximum number of connections to a server from all nodes together.
   uint32_t connection_limit = 1;
+  // Requests that a cold server takes from all nodes together; 0 if it takes
+  // any number.
+  double cold_requests_per_second = 0;
+  // Time for which a server of the service is usually cold.
+  Duration cold_time = Duration::zero();
 
   bool operator==(const RoutedService&) const = default;
 };
--- a/tests/platform/control_codec_test.cc
+++ b/tests/platform/control_codec_test.cc
@@ -61,6 +61,80 @@
   EXPECT_EQ(record.state, directory::ServerState::kReady);
 }
 
+// Guards against a cold server that gets all requests, and against a countdown
+// that is taken for a change. A server that does not count its announcements
+// could stay cold because of a late one.
+TEST(ControlCodecTest, ReadsColdServers) {
+  const auto read = [](const std::string& fields) {
+    const auto call =
+        DecodeCall(http::verb::post, "/v1/instances/i-1/heartbeat",
+                   R"({"service":"s","address":"10.0.0.9:8080","zone":"z",)"
+                   R"("concurrency_limit":2,"state":"ready")" +
+                       fields + "}");
+    return std::get<control::AnnounceCall>(call).record;
+  };
+  const auto cold = read(R"(,"born":7,"sequence":4,"warmup_left_ms":900)");
+  EXPECT_TRUE(cold.cold);
+  EXPECT_EQ(cold.sequence, 4U);
+  EXPECT_EQ(read(R"(,"born":7,"sequence":4,"warmup_left_ms":1)"), cold);
+  EXPECT_FALSE(read(R"(,"born":7,"sequence":4,"warmup_left_ms":0)").cold);
+  EXPECT_FALSE(read(R"(,"born":7,"sequence":4)").cold);
+  EXPECT_FALSE(read(R"(,"sequence":4,"warmup_left_ms":900)").cold);
+  EXPECT_FALSE(read(R"(,"born":7,"warmup_left_ms":900)").cold);
+  EXPECT_EQ(read(R"(,"sequence":4)").sequence, 0U);
+}
+
+// Guards against a rate of cold servers that is read as another one.
+TEST(ControlCodecTest, ReadsRatesOfColdServers) {
+  const auto read = [](const std::string& fields) {
+    return GetControlCodec()
+        .parse_routes(R"({"version":1,"routes":[],"services":[{"name":"s",)"
+                      R"("max_connections":3)" +
+                      fields + "}]}")
+        .services.at({"s"});
+  };
+  EXPECT_EQ(read("").cold_requests_per_second, 0);
+  const auto service = read(R"(,"warmup_per_s":2.5,"warmup_s":30)");
+  EXPECT_EQ(service.cold_requests_per_second, 2.5);
+  EXPECT_EQ(service.cold_time, std::chrono::seconds(30));
+  EXPECT_EQ(service.connection_limit, 3U);
+  for (const std::string field :
+       {R"(,"warmup_per_s":-1)", R"(,"warmup_per_s":1e300)",
+        R"(,"warmup_per_s":"1")", R"(,"warmup_s":-1)", R"(,"warmup_s":1e9)"}) {
+    EXPECT_THROW(read(field), routes::RouteError) << field;
+  }
+}
+
+// Guards against an order for another failure domain, and against calls that
+// are taken for orders.
+TEST(ControlCodecTest, ReadsEvacuationOrders) {
+  const auto decode = [](const std::string& path) {
+    return DecodeCall(http::verb::post, path, "");
+  };
+  const auto start =
+      std::get<control::EvacuateCall>(decode("/v1/evacuation/zone-1/start"));
+  EXPECT_EQ(start.domain.value, "zone-1");
+  EXPECT_EQ(start.action, routes::EvacuationAction::kStart);
+  const auto finish =
+      std::get<control::EvacuateCall>(decode("/v1/evacuation/b/finish"));
+  EXPECT_EQ(finish.domain.value, "b");
+  EXPECT_EQ(finish.action, routes::EvacuationAction::kFinish);
+  for (const std::string path :
+       {"/v1/evacuation//start", "/v1/evacuation/a%20b/start",
+        "/v1/evacuation/a/b/finish"}) {
+    EXPECT_TRUE(std::holds_alternative<control::MalformedCall>(decode(path)))
+        << path;
+  }
+  for (const std::string path :
+       {"/v1/evacuation/a", "/v1/evacuation/a/stop", "/v1/evacuation/",
+        "/v1/evacuation/a/start/"}) {
+    EXPECT_TRUE(std::holds_alternative<control::UnknownCall>(decode(path)))
+        << path;
+  }
+  EXPECT_TRUE(std::holds_alternative<control::UnknownCall>(
+      DecodeCall(http::verb::get, "/v1/evacuation/a/start", "")));
+}
+
 // Guards against a malformed announcement that adds a server.
 TEST(ControlCodecTest, RejectsMalformedAnnouncements) {
   const std::string heartbeat = kHeartbeat;
