--- a/libs/relay/include/gooseberryrock/relay/pool_server.h
+++ b/libs/relay/include/gooseberryrock/relay/pool_server.h
@@ -30,6 +30,8 @@
   // The server is announced as ready and has not said in a reply that it
   // leaves, and no other server was found at its address.
   bool usable = true;
+  // An operator evacuates the failure domain of the server.
+  bool evacuated = false;
   // Open connections, including those being opened, and those of them that
   // carry no request.
   uint32_t connections = 0;
@@ -41,7 +43,9 @@
   ServerNotices notices;
 
   // Whether the server accepts new attempts.
-  bool AcceptsWork() const { return usable && connection_share > 0; }
+  bool AcceptsWork() const {
+    return usable && !evacuated && connection_share > 0;
+  }
 };
 
 }  // namespace gooseberryrock::relay
--- a/libs/relay/include/gooseberryrock/relay/request_limit.h
+++ b/libs/relay/include/gooseberryrock/relay/request_limit.h
@@ -9,6 +9,7 @@
 
 #include "gooseberryrock/base/rank.h"
 #include "gooseberryrock/base/time.h"
+#include "gooseberryrock/relay/cold_limit.h"
 
 namespace gooseberryrock::relay {
 
@@ -23,6 +24,8 @@
   // Requests that may be sent at `refilled_at`; more accumulate over time.
   double tokens = 0;
   SteadyTime refilled_at;
+  // Holds as well, whether or not the server names a limit.
+  ColdLimit cold;
 };
 
 // Records whether a reply named a limit. A reply without one lifts the limit
--- a/libs/relay/src/request_limit.cc
+++ b/libs/relay/src/request_limit.cc
@@ -46,6 +46,11 @@
   return 1 + kReservedShare[RankIndex(rank)] * (Capacity(limit) - 1);
 }
 
+// Whether the limit that the server names allows a request.
+bool MaySendAsNamed(const RequestLimit& limit, Rank rank, SteadyTime now) {
+  return !limit.per_second || TokensAt(limit, now) >= NeededTokens(limit, rank);
+}
+
 }  // namespace
 
 void RecordLimit(RequestLimit& limit,
@@ -75,19 +80,21 @@
 }
 
 bool MaySend(const RequestLimit& limit, Rank rank, SteadyTime now) {
-  return !limit.per_second || TokensAt(limit, now) >= NeededTokens(limit, rank);
+  return MaySend(limit.cold, now) && MaySendAsNamed(limit, rank, now);
 }
 
 SteadyTime NextSendTime(const RequestLimit& limit, Rank rank, SteadyTime now) {
-  if (MaySend(limit, rank, now)) {
-    return now;
+  const SteadyTime cold_until = NextSendTime(limit.cold, now);
+  if (MaySendAsNamed(limit, rank, now)) {
+    return cold_until;
   }
   const Seconds wait((NeededTokens(limit, rank) - TokensAt(limit, now)) /
                      Rate(limit));
-  return now + std::chrono::duration_cast<Duration>(wait);
+  return std::max(cold_until, now + std::chrono::duration_cast<Duration>(wait));
 }
 
 void CountSend(RequestLimit& limit, SteadyTime now) {
+  CountSend(limit.cold, now);
   if (limit.per_second) {
     Refill(limit, now);
     limit.tokens -= 1;
--- a/libs/relay/src/service_pool.cc
+++ b/libs/relay/src/service_pool.cc
@@ -6,6 +6,7 @@
 #include <chrono>
 
 #include "gooseberryrock/base/hash.h"
+#include "gooseberryrock/relay/evacuated_servers.h"
 #include "gooseberryrock/relay/relay_policy.h"
 #include "scale.h"
 
@@ -47,7 +48,7 @@
       return;
     }
     const uint64_t hash = Hash64(it.id.value, seed);
-    if (it.usable && (first == nullptr || hash < first_hash)) {
+    if (IsOpenToWork(it) && (first == nullptr || hash < first_hash)) {
       first = &it;
       first_hash = hash;
     }
