entry: follow evacuations and the limits of cold servers

Entry nodes take the set of evacuated failure domains from replies to polls. Attempts that wait for a connection to such a server go elsewhere. A request whose coverage the evacuation makes impossible is refused before any part of it is sent.

--- a/libs/entry/src/control_poller.cc
+++ b/libs/entry/src/control_poller.cc
@@ -21,6 +21,7 @@
 #include "gooseberryrock/proto/binary_codec.h"
 #include "gooseberryrock/proto/convert_claims.h"
 #include "gooseberryrock/proto/convert_directory.h"
+#include "gooseberryrock/proto/convert_evacuation.h"
 #include "gooseberryrock/proto/malformed_message_error.h"
 #include "gooseberryrock/routes/compressed_text.h"
 #include "gooseberryrock/routes/route_error.h"
@@ -44,6 +45,10 @@
 // that lost its disk or was partitioned may not know all servers yet.
 constexpr size_t kInitialDirectories = 3;
 
+// A node without a reply for this long counts as cut off. Control VMs let the
+// others divide the limits of servers again 10 s after its last poll.
+constexpr Duration kCutOffTime = std::chrono::seconds(8);
+
 // Limits the size of a poll; the other records follow in the next one.
 constexpr size_t kMaxCrashNotices = 64;
 
@@ -130,6 +135,7 @@
     std::unique_lock lock(mutex);
     while (!stopping) {
       Poll();
+      CheckContact(BootTime());
       const auto expired_servers =
           ExpireRememberedServers(known_servers, BootTime());
       if (!expired_servers.empty()) {
@@ -145,6 +151,15 @@
     }
   }
 
+  // Requires `mutex`.
+  void CheckContact(SteadyTime now) {
+    const bool is_now = !last_reply_at || now - *last_reply_at < kCutOffTime;
+    if (is_now != in_contact) {
+      in_contact = is_now;
+      events.on_contact(is_now);
+    }
+  }
+
   bool IsUpToDate(const ControlVm& vm, SteadyTime now) const {
     return vm.current && vm.replied_at &&
            now - *vm.replied_at < settings.poll_reply_timeout;
@@ -214,6 +229,7 @@
     poll.set_entry_nodes_digest(entry_nodes_digest);
     poll.set_without_directory(!with_directory);
     poll.set_sent_us(ToMicroseconds(now));
+    poll.set_evacuation_version(evacuated.version);
     if (with_directory) {
       poll.set_directory_incarnation(vm.incarnation);
       poll.set_directory_count(vm.directory_count);
@@ -282,11 +298,15 @@
                const proto::EntryPollReply& reply) {
     const std::vector<directory::ServerRecord> records =
         ReadRecords(frame.sender, reply.records());
+    const routes::EvacuatedDomains newest =
+        proto::FromMessage(reply.evacuated());
     std::vector<NodeId> others;
     for (const std::string& it : reply.control_vms()) {
       others.push_back({it});
     }
     AddControlVms(others);
+    // Before the routes and servers, which requests may wait for.
+    OnEvacuation(newest, reply.evacuation_known());
     if (reply.has_routes()) {
       OnRoutes(reply.routes());
     }
@@ -306,6 +326,7 @@
       }
       vm.domain = {reply.failure_domain()};
       vm.replied_at = BootTime();
+      last_reply_at = vm.replied_at;
       vm.current = reply.current();
       vm.crashes_known = reply.crashes_count();
       // A new process has none of the records that its predecessor received.
@@ -378,6 +399,18 @@
     return found ? std::optional(std::move(plan)) : std::nullopt;
   }
 
+  void OnEvacuation(const routes::EvacuatedDomains& newest, bool is_known) {
+    {
+      std::lock_guard lock(mutex);
+      const bool follows = routes::FollowNewer(evacuated, newest);
+      if (!follows && (!is_known || evacuation_known)) {
+        return;
+      }
+      evacuation_known = evacuation_known || is_known;
+    }
+    events.on_evacuation(newest, is_known);
+  }
+
   void OnRoutes(const proto::RouteDocument& document) {
     {
       std::lock_guard lock(mutex);
@@ -419,6 +452,10 @@
   NodeId source;
   uint64_t routes_version = 0;
   bool has_directory = false;
+  std::optional<SteadyTime> last_reply_at;
+  bool in_contact = true;
+  routes::EvacuatedDomains evacuated;
+  bool evacuation_known = false;
   bool stopping = false;
   // The failure domain of a control VM became known during startup.
   bool poll_now = false;
--- a/libs/entry/src/control_poller.h
+++ b/libs/entry/src/control_poller.h
@@ -13,6 +13,7 @@
 #include "gooseberryrock/entry/entry_settings.h"
 #include "gooseberryrock/entry/server_change.h"
 #include "gooseberryrock/peer/peer_stats.h"
+#include "gooseberryrock/routes/evacuation.h"
 #include "gooseberryrock/routes/route_confirmation.h"
 #include "gooseberryrock/routes/route_table.h"
 
@@ -27,6 +28,13 @@
   std::function<void(std::vector<ServerChange>)> on_servers;
   std::function<void(ConnectionPlan)> on_plan;
   std::function<void(routes::RouteConfirmation)> on_confirmation;
+  // `is_known` is false while no control VM has reported that it knows the
+  // newest version.
+  std::function<void(const routes::EvacuatedDomains&, bool is_known)>
+      on_evacuation;
+  // Called when the node has been cut off from all control VMs for a while, and
+  // when it is in contact again.
+  std::function<void(bool)> on_contact;
 };
 
 // The node's view of the control plane.
--- a/libs/entry/src/entry_node.cc
+++ b/libs/entry/src/entry_node.cc
@@ -90,7 +90,7 @@
           settings.route_confirmation_lifetime,
           EntryShardDependencies{
               [this, i](const ServerNotice& it) { PassOn(it, i); },
-              crash_history, *reply_memory.back(), metrics}));
+              crash_history, *reply_memory.back(), metrics, i}));
       ConnectionPlan plan;
       plan.place.domain = settings.failure_domain;
       shards.back()->SetConnectionPlan(std::move(plan));
@@ -230,6 +230,17 @@
         it->SetConnectionPlan(plan);
       }
     };
+    events.on_evacuation = [this](const routes::EvacuatedDomains& evacuated,
+                                  bool is_known) {
+      for (auto& it : shards) {
+        it->SetEvacuation(evacuated, is_known);
+      }
+    };
+    events.on_contact = [this](bool in_contact) {
+      for (auto& it : shards) {
+        it->SetContact(in_contact);
+      }
+    };
     events.on_confirmation = [this](const routes::RouteConfirmation& it) {
       for (auto& shard : shards) {
         shard->SetConfirmation(it);
--- a/libs/entry/src/entry_shard.cc
+++ b/libs/entry/src/entry_shard.cc
@@ -57,6 +57,7 @@
       codec_(codec),
       policy_(policy),
       shards_(shards),
+      shard_index_(deps.shard_index),
       on_notice_(std::move(deps.on_notice)),
       crash_history_(deps.crash_history),
       reply_memory_(deps.reply_memory),
@@ -194,7 +195,7 @@
     Deny(*exchange, caller, *route, is_confirmed);
     return;
   }
-  if (may_park && !KnowsServers(*route)) {
+  if (may_park && (!evacuation_known_ || !KnowsServers(*route))) {
     ParkRequest(std::move(exchange), caller);
     return;
   }
@@ -282,7 +283,8 @@
                                      table_, route, organisation);
   const bool is_gathered =
       std::holds_alternative<routes::ShardedTarget>(route.target);
-  if (!is_gathered || !PassOn(active, received)) {
+  if (!is_gathered || !EvacuationLeavesCoverage(route) ||
+      !PassOn(active, received)) {
     Run(active, received, attempts);
   }
 }
--- a/libs/entry/src/entry_shard.h
+++ b/libs/entry/src/entry_shard.h
@@ -27,6 +27,7 @@
 #include "gooseberryrock/relay/request_machine.h"
 #include "gooseberryrock/relay/service_pool.h"
 #include "gooseberryrock/relay/weighted_choice.h"
+#include "gooseberryrock/routes/evacuation.h"
 #include "gooseberryrock/routes/route_confirmation.h"
 #include "gooseberryrock/routes/route_table.h"
 #include "gooseberryrock/transport/http_message.h"
@@ -81,6 +82,8 @@
   // Of the shard's thread.
   transport::ReplyMemory& reply_memory;
   telemetry::Metrics& metrics;
+  // Of the I/O shards of the node.
+  unsigned shard_index = 0;
 };
 
 class EntryShard {
@@ -108,6 +111,11 @@
   void SetConfirmation(const routes::RouteConfirmation& confirmation);
   void UpdateServers(std::vector<ServerChange> changes);
   void SetConnectionPlan(ConnectionPlan plan);
+  // Whether control VMs have replied recently.
+  void SetContact(bool in_contact);
+  // `is_known` is false while a newer version may exist that no control VM
+  // could report yet.
+  void SetEvacuation(const routes::EvacuatedDomains& evacuated, bool is_known);
   // Handles a notice that another I/O shard received.
   void OnNotice(const ServerNotice& notice);
   // Answers all requests by `answer_by`, and refuses those that are unlikely to
@@ -257,6 +265,10 @@
   void RunMaintenance();
   void MaintainPool(relay::ServicePool& pool, SteadyTime now);
   void UpdateServer(const ServerChange& change);
+  // Attempts that wait for a connection to a server of an evacuated failure
+  // domain go elsewhere.
+  void CancelEvacuatedWaits();
+  bool EvacuationLeavesCoverage(const routes::Route& route);
   uint32_t ConnectionLimitOf(const ServiceName& service) const;
   // Sets this shard's share of the connection limit and of the request limit of
   // `server`.
@@ -265,6 +277,14 @@
   void ApplyGatherShare(relay::PoolServer& server,
                         const directory::ServerRecord& record,
                         SteadyTime now);
+  // The same for the requests to a cold server.
+  void ApplyColdShare(relay::PoolServer& server,
+                      const directory::ServerRecord& record,
+                      SteadyTime now);
+  double ColdRateOf(const ServiceName& service) const;
+  // Returns this shard's part of `burst` requests to the server at once.
+  uint32_t ColdBurstOf(const directory::ServerRecord& record,
+                       uint32_t burst) const;
   void ApplyShares(relay::ServicePool& pool);
   void ApplyAllShares();
 
@@ -272,6 +292,7 @@
   const EntryCodec& codec_;
   const relay::RelayPolicy policy_;
   const unsigned shards_;
+  const unsigned shard_index_;
   const std::function<void(const ServerNotice&)> on_notice_;
   claims::SharedCrashHistory& crash_history_;
   transport::ReplyMemory& reply_memory_;
@@ -296,6 +317,9 @@
   relay::PoolMap pools_;
   std::map<BackendServerId, directory::ServerRecord> records_;
   ConnectionPlan plan_;
+  routes::EvacuatedDomains evacuated_;
+  bool evacuation_known_ = false;
+  bool in_contact_ = true;
   relay::GatherInputs gather_inputs_;
   relay::NodesByDomain gather_nodes_;
   // When requests to gathering nodes of a failure domain last failed without a
--- a/libs/entry/src/entry_shard_gather.cc
+++ b/libs/entry/src/entry_shard_gather.cc
@@ -11,6 +11,7 @@
 #include "gather_messages.h"
 #include "gooseberryrock/base/clock.h"
 #include "gooseberryrock/directory/server_state.h"
+#include "gooseberryrock/relay/evacuated_servers.h"
 #include "gooseberryrock/relay/gather_nodes.h"
 #include "gooseberryrock/relay/stop_time.h"
 #include "gooseberryrock/routes/route_services.h"
@@ -67,7 +68,7 @@
   for (const relay::ServicePool* pool : PoolsOf(route)) {
     std::set<FailureDomain>& shard = places.emplace_back();
     for (const relay::PoolServer& it : pool->servers) {
-      if (it.usable) {
+      if (relay::IsOpenToWork(it)) {
         shard.insert(it.domain);
       }
     }
@@ -178,7 +179,7 @@
     exchange->Respond(EncodeGatherRefusal(GatherRefusal::kTryAnotherNode));
     return;
   }
-  if (IsDiscovering(now) && !KnowsServers(*route)) {
+  if (IsDiscovering(now) && (!evacuation_known_ || !KnowsServers(*route))) {
     exchange->Respond(EncodeGatherRefusal(GatherRefusal::kStopping));
     return;
   }
--- a/libs/entry/src/entry_shard_servers.cc
+++ b/libs/entry/src/entry_shard_servers.cc
@@ -104,6 +104,7 @@
     for (const ServerChange& it : changes) {
       UpdateServer(it);
     }
+    CancelEvacuatedWaits();
     UpdateGatherNodes();
     RetryParked();
   });
@@ -192,7 +193,9 @@
   const directory::ServerRecord& record = records_.at(server.id);
   server.domain = record.failure_domain;
   server.same_domain = record.failure_domain == plan_.place.domain;
+  server.evacuated = routes::IsEvacuated(evacuated_, server.domain);
   const SteadyTime now = BootTime();
+  ApplyColdShare(server, record, now);
   if (IsGathered(record.service)) {
     ApplyGatherShare(server, record, now);
     return;
