relay, control: use other servers than cold ones of other nodes

A node whose only connection was for a cold server that it has no part of could use no server. Control VMs that are not current no longer say that they know which failure domains are evacuated.

relay_test (71 cases) and control_test (21 cases) pass.

--- a/libs/control/src/evacuation_view.cc
+++ b/libs/control/src/evacuation_view.cc
@@ -26,7 +26,7 @@
 void EvacuationView::AnswerPoll(const proto::EntryPoll& poll,
                                 proto::EntryPollReply& reply) const {
   std::lock_guard lock(mutex_);
-  reply.set_evacuation_known(is_known_);
+  reply.set_evacuation_known(is_known_ && reply.current());
   if (evacuated_.version > poll.evacuation_version()) {
     *reply.mutable_evacuated() = proto::ToMessage(evacuated_);
   }
--- a/libs/control/src/evacuation_view.h
+++ b/libs/control/src/evacuation_view.h
@@ -26,6 +26,8 @@
 
   bool is_known() const;
 
+  // `reply` already says whether this VM is current: after a suspension it may
+  // lack the end of the log, too.
   void AnswerPoll(const proto::EntryPoll& poll,
                   proto::EntryPollReply& reply) const;
 
--- a/libs/relay/include/gooseberryrock/relay/cold_limit.h
+++ b/libs/relay/include/gooseberryrock/relay/cold_limit.h
@@ -45,6 +45,9 @@
 // The server is warm, or cold servers of its service take any rate.
 void LiftCold(ColdLimit& limit);
 
+// Whether the I/O shard may ever send a request while the server is cold.
+bool HasPart(const ColdLimit& limit);
+
 bool MaySend(const ColdLimit& limit, SteadyTime now);
 
 // Returns when a request may be sent, if no other is sent before;
--- a/libs/relay/include/gooseberryrock/relay/pool_server.h
+++ b/libs/relay/include/gooseberryrock/relay/pool_server.h
@@ -44,7 +44,8 @@
 
   // Whether the server accepts new attempts.
   bool AcceptsWork() const {
-    return usable && !evacuated && connection_share > 0;
+    return usable && !evacuated && connection_share > 0 &&
+           HasPart(request_limit.cold);
   }
 };
 
--- a/libs/relay/src/cold_limit.cc
+++ b/libs/relay/src/cold_limit.cc
@@ -57,6 +57,10 @@
   limit = {};
 }
 
+bool HasPart(const ColdLimit& limit) {
+  return !limit.is_on || limit.share.burst > 0;
+}
+
 bool MaySend(const ColdLimit& limit, SteadyTime now) {
   return !limit.is_on || TokensAt(limit, now) >= 1;
 }
--- a/libs/relay/src/service_pool.cc
+++ b/libs/relay/src/service_pool.cc
@@ -48,7 +48,8 @@
       return;
     }
     const uint64_t hash = Hash64(it.id.value, seed);
-    if (IsOpenToWork(it) && (first == nullptr || hash < first_hash)) {
+    if (IsOpenToWork(it) && HasPart(it.request_limit.cold) &&
+        (first == nullptr || hash < first_hash)) {
       first = &it;
       first_hash = hash;
     }
--- a/tests/process/tier_cluster.cc
+++ b/tests/process/tier_cluster.cc
@@ -54,7 +54,7 @@
 
 constexpr size_t kServers = (kShards + 1) * kServersPerService;
 
-json MakeRoutesDocument(uint64_t version, uint32_t connection_limit) {
+json MakeRoutesDocument(uint64_t version, const TierOptions& options) {
   json shards = json::array();
   json services = json::array();
   for (size_t i = 0; i <= kShards; ++i) {
@@ -62,7 +62,12 @@
     if (i < kShards) {
       shards.push_back(name);
     }
-    services.push_back({{"name", name}, {"max_connections", connection_limit}});
+    json service = {{"name", name},
+                    {"max_connections", options.connection_limit}};
+    if (options.cold_rate > 0) {
+      service["warmup_per_s"] = options.cold_rate;
+    }
+    services.push_back(std::move(service));
   }
   const auto route = [](const std::string& name, const std::string& prefix) {
     return json{{"name", name},          {"hostname", "h"},
@@ -297,6 +302,16 @@
   reply_fields_[service * kServersPerService + i] = {name, value, status};
 }
 
+void TierCluster::SetCold(size_t service, size_t i, bool cold) {
+  std::lock_guard lock(mutex_);
+  const size_t server = service * kServersPerService + i;
+  if (cold) {
+    cold_servers_.insert(server);
+  } else {
+    cold_servers_.erase(server);
+  }
+}
+
 std::vector<SteadyTime> TierCluster::ArrivalsAt(size_t service, size_t i) {
   std::lock_guard lock(mutex_);
   return arrivals_[service * kServersPerService + i];
@@ -320,6 +335,7 @@
     for (size_t i = 0; i < kServers && !stopping_ && !announcements_paused_;
          ++i) {
       uint64_t restarts = 0;
+      bool cold = false;
       uint16_t port = servers_[i]->port();
       {
         std::lock_guard lock(mutex_);
@@ -327,6 +343,7 @@
           continue;
         }
         restarts = restarts_[i];
+        cold = cold_servers_.contains(i);
         if (announced_ports_.contains(i)) {
           port = announced_ports_.at(i);
         }
@@ -338,6 +355,7 @@
           {"concurrency_limit", 4},
           {"state", "ready"},
           {"sequence", sequence},
+          {"warmup_left_ms", cold ? 1'000'000 - sequence : 0},
           {"born", 1000 + restarts}};
       const std::string path =
           "/v1/instances/server-" + std::to_string(i) + "/heartbeat";
@@ -430,7 +448,7 @@
 }
 
 bool TierCluster::PutRoutes(uint64_t version) {
-  json document = MakeRoutesDocument(version, options_.connection_limit);
+  json document = MakeRoutesDocument(version, options_);
   {
     std::lock_guard lock(mutex_);
     if (!organisations_.empty()) {
--- a/tests/process/tier_cluster.h
+++ b/tests/process/tier_cluster.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -32,6 +33,9 @@
   // All servers are in the failure domain of the first entry node, instead of
   // in each domain in turn.
   bool servers_in_first_domain = false;
+  // Requests per second that a cold server takes from all nodes together; 0 if
+  // the services name no rate.
+  int cold_rate = 0;
   // Further numbers in the settings of all nodes.
   std::map<std::string, int> settings = {};
 };
@@ -117,6 +121,8 @@
                      const std::string& name,
                      const std::string& value,
                      boost::beast::http::status status);
+  // From now on server `i` of the service announces that it is cold, or warm.
+  void SetCold(size_t service, size_t i, bool cold);
   // Returns when server `i` of the service got each request since then.
   std::vector<SteadyTime> ArrivalsAt(size_t service, size_t i);
   // Returns the output of `gbrctl explain` for the last request of
@@ -170,6 +176,7 @@
   std::map<size_t, SteadyTime> restart_at_;
   std::map<size_t, uint64_t> restarts_;
   std::map<size_t, uint16_t> announced_ports_;
+  std::set<size_t> cold_servers_;
   std::vector<std::unique_ptr<transport::WebServer>> servers_;
   // Ended servers; they can be destroyed only after the I/O thread.
   std::vector<std::unique_ptr<transport::WebServer>> ended_servers_;
--- a/tests/process/tier_evacuation_test.cc
+++ b/tests/process/tier_evacuation_test.cc
@@ -141,12 +141,23 @@
   TierCluster cluster_;
 };
 
-// The first entry node gathers for the second one.
+// Each entry node gathers for the other one, too; the second one is in the
+// failure domain that is evacuated.
 class GatherEvacuationTest : public TierEvacuationTest {
  protected:
   GatherEvacuationTest() : TierEvacuationTest({/*connection_limit=*/3}) {}
 };
 
+class ColdServerTest : public TierEvacuationTest {
+ protected:
+  static constexpr int kRate = 4;
+
+  ColdServerTest()
+      : TierEvacuationTest({/*connection_limit=*/30,
+                            /*servers_in_first_domain=*/false,
+                            /*cold_rate=*/kRate}) {}
+};
+
 // Guards against requests to servers of a failure domain that is evacuated, and
 // against servers that stay unused after that.
 TEST_F(TierEvacuationTest, ServersGetNoRequestsUntilFinish) {
@@ -274,5 +285,38 @@
   EXPECT_EQ(cluster_.ServerRequests().size(), before);
 }
 
+// Guards against a cold server that gets more than its service allows, from all
+// nodes together, and against one that is left alone after it has warmed up.
+TEST_F(ColdServerTest, ColdServerGetsItsRateOnly) {
+  cluster_.SetCold(3, 1, true);
+  std::this_thread::sleep_for(kFollowTime);
+  const size_t before = cluster_.ArrivalsAt(3, 1).size();
+  const auto end = std::chrono::steady_clock::now() + seconds(4);
+  while (std::chrono::steady_clock::now() < end) {
+    // The other server of the service is in the domain of the first node.
+    for (int n = 0; n < 8; ++n) {
+      const auto reply = cluster_.SendRequest(1, "POST", "/one/x");
+      ASSERT_TRUE(reply);
+      EXPECT_EQ(reply->result(), http::status::ok);
+    }
+  }
+  const auto arrivals = cluster_.ArrivalsAt(3, 1);
+  EXPECT_GT(arrivals.size(), before + kRate);
+  for (size_t i = before; i < arrivals.size(); ++i) {
+    size_t n = 0;
+    while (i + n < arrivals.size() &&
+           arrivals[i + n] - arrivals[i] < seconds(1)) {
+      ++n;
+    }
+    EXPECT_LE(static_cast<double>(n), 1.5 * kRate + 5);
+  }
+  cluster_.SetCold(3, 1, false);
+  std::this_thread::sleep_for(kFollowTime);
+  for (int n = 0; n < 100; ++n) {
+    ASSERT_TRUE(cluster_.SendRequest(1, "POST", "/one/x"));
+  }
+  EXPECT_GT(cluster_.ArrivalsAt(3, 1).size(), arrivals.size() + 50);
+}
+
 }  // namespace
 }  // namespace gooseberryrock::process_test
--- a/tests/relay/cold_limit_test.cc
+++ b/tests/relay/cold_limit_test.cc
@@ -8,6 +8,8 @@
 #include <deque>
 #include <vector>
 
+#include "gooseberryrock/relay/request_limit.h"
+
 namespace gooseberryrock::relay {
 namespace {
 
@@ -98,6 +100,22 @@
   EXPECT_TRUE(MaySend(limit, kStart));
 }
 
+// Guards against a limit that a server names and that no longer holds because
+// the server is cold, or the other way round.
+TEST(ColdLimitTest, NamedLimitHoldsAsWell) {
+  RequestLimit limit;
+  RecordLimit(limit, 1, kStart, kStart);
+  LimitCold(limit.cold, ColdShareOf(60, ColdBurst(60)), kStart);
+  EXPECT_FALSE(MaySend(limit, Rank::kUrgent, kStart + milliseconds(900)));
+  EXPECT_TRUE(MaySend(limit, Rank::kUrgent, kStart + seconds(1)));
+  RecordLimit(limit, 1000, kStart, kStart + seconds(1));
+  LimitCold(limit.cold, ColdShareOf(1, 1), kStart + seconds(1));
+  CountSend(limit, kStart + seconds(2));
+  EXPECT_FALSE(MaySend(limit, Rank::kUrgent, kStart + milliseconds(2100)));
+  EXPECT_GT(NextSendTime(limit, Rank::kUrgent, kStart + milliseconds(2100)),
+            kStart + seconds(3));
+}
+
 // Guards against a node without a part that sends requests all the same, or
 // computes a time for them.
 TEST(ColdLimitTest, NoPartMeansNoRequests) {
--- a/tests/relay/evacuated_servers_test.cc
+++ b/tests/relay/evacuated_servers_test.cc
@@ -51,6 +51,17 @@
   EXPECT_EQ(pool.servers[1].connection_share, 1U);
 }
 
+// Guards against a node that can use no server because the only one with a
+// connection for it is cold and used by other nodes.
+TEST(EvacuatedServersTest, ColdServerOfOtherNodesIsNotMadeUsable) {
+  ServicePool pool = Pool(false, false);
+  pool.servers[1].connection_share = 0;
+  LimitCold(pool.servers[0].request_limit.cold, ColdShareOf(10, 0), kNow);
+  EXPECT_FALSE(pool.servers[0].AcceptsWork());
+  EnsureOneUsableServer(pool, 7);
+  EXPECT_TRUE(pool.servers[1].AcceptsWork());
+}
+
 // Guards against a request that runs in part although its coverage cannot be
 // reached, and against refusals for shards that have lost their servers anyway.
 TEST(EvacuatedServersTest, CoverageCountsShardsWithOpenServers) {
