entry: divide requests to cold servers in a module of its own

The sum of the parts of all I/O shards is tested for 62 nodes in 4 failure domains and for 3 nodes.

ColdPartTest (3 cases) passes; all 27 unit test programs pass.

--- a/libs/entry/src/entry_shard_cold.cc
+++ b/libs/entry/src/entry_shard_cold.cc
@@ -1,9 +1,11 @@
 // An I/O shard of an entry node: its part of the requests that cold servers
 // take.
 
+#include <string>
+
+#include "cold_part.h"
 #include "entry_shard.h"
 #include "gooseberryrock/base/hash.h"
-#include "gooseberryrock/directory/connection_share.h"
 #include "gooseberryrock/relay/cold_limit.h"
 #include "gooseberryrock/telemetry/log_event.h"
 #include "gooseberryrock/transport/io_thread.h"
@@ -41,18 +43,9 @@
   if (is_gathered && !gathers_) {
     return 0;
   }
-  // Each I/O shard has a place, like a node: a part of a request cannot be
-  // sent.
-  directory::Reservation places =
-      is_gathered ? gather_plan_.reservation : plan_.reservation;
-  directory::ReservedPlace place =
-      is_gathered ? gather_plan_.place : plan_.place;
-  for (auto& [domain, n] : places) {
-    n *= shards_;
-  }
-  place.position = place.position * shards_ + shard_index_;
-  return directory::ConnectionShare(burst, places, record.failure_domain, place,
-                                    Hash64(record.id.value));
+  const ConnectionPlan& plan = is_gathered ? gather_plan_ : plan_;
+  return ColdPart(burst, plan.reservation, plan.place, {shards_, shard_index_},
+                  record.failure_domain, Hash64(record.id.value));
 }
 
 void EntryShard::ApplyColdShare(relay::PoolServer& server,
