entry, control: wait for unconfirmed evacuation orders after a power loss

TierEvacuationTest.OrderSurvivesRestartOfAllProcesses failed: the last order in the logs is not known as committed until a leader is elected, and entry nodes that had started before sent 2 requests to servers of the evacuated domain. Control VMs now say that their log holds such an order. Without orders in the log nothing changes.

--- a/libs/control/include/gooseberryrock/control/control_machine.h
+++ b/libs/control/include/gooseberryrock/control/control_machine.h
@@ -35,6 +35,9 @@
 // malformed entry has no effect and returns an empty reply.
 std::string ApplyEntry(ControlState& state, std::string_view payload);
 
+// Whether an encoded ControlEntry is an order to evacuate a failure domain.
+bool IsEvacuationOrder(std::string_view payload);
+
 // Returns the complete state as an encoded ControlSnapshot.
 std::string EncodeSnapshot(const ControlState& state);
 
--- a/libs/control/include/gooseberryrock/control/state_machine.h
+++ b/libs/control/include/gooseberryrock/control/state_machine.h
@@ -20,6 +20,9 @@
   std::function<void()> reset;
   // Replaces the state by a result of `snapshot`.
   std::function<void(std::string_view data)> restore;
+  // Optional. Reports, at the start, an entry of the log that is not known to
+  // be committed. May also be called before the log's thread runs.
+  std::function<void(std::string_view payload)> on_stored;
 };
 
 }  // namespace gooseberryrock::control
--- a/libs/control/src/control_machine.cc
+++ b/libs/control/src/control_machine.cc
@@ -166,6 +166,14 @@
   }
 }
 
+bool IsEvacuationOrder(std::string_view payload) {
+  try {
+    return proto::Parse<proto::ControlEntry>(payload).has_evacuation();
+  } catch (const proto::MalformedMessageError&) {
+    return false;
+  }
+}
+
 std::string EncodeSnapshot(const ControlState& state) {
   proto::ControlSnapshot snapshot;
   *snapshot.mutable_catalog() = proto::ToMessage(state.catalog);
--- a/libs/control/src/control_node.cc
+++ b/libs/control/src/control_node.cc
@@ -138,13 +138,18 @@
                    [this](const peer::PeerFrame& it) { OnFrame(it); });
     AddControlVms(settings.control_vms);
     LoadRememberedServers();
-    log.emplace(LogOptions(settings),
-                MakeStateMachine(
-                    state, [](const auto& /*catalog*/) {},
-                    [this](const StoredRoutes& it) { OnStoredRoutes(it); },
-                    [this](const routes::EvacuatedDomains& it) {
-                      evacuation.OnApplied(it);
-                    }),
+    StateMachine machine = MakeStateMachine(
+        state, [](const auto& /*catalog*/) {},
+        [this](const StoredRoutes& it) { OnStoredRoutes(it); },
+        [this](const routes::EvacuatedDomains& it) {
+          evacuation.OnApplied(it);
+        });
+    machine.on_stored = [this](std::string_view payload) {
+      if (IsEvacuationOrder(payload)) {
+        evacuation.OnPending();
+      }
+    };
+    log.emplace(LogOptions(settings), std::move(machine),
                 [this](const NodeId& to, std::string body) {
                   socket->Send(to, peer::FrameKind::kConsensus,
                                std::move(body));
--- a/libs/control/src/evacuation_view.cc
+++ b/libs/control/src/evacuation_view.cc
@@ -7,6 +7,11 @@
 
 namespace gooseberryrock::control {
 
+void EvacuationView::OnPending() {
+  std::lock_guard lock(mutex_);
+  has_pending_ = true;
+}
+
 void EvacuationView::OnApplied(const routes::EvacuatedDomains& evacuated) {
   std::lock_guard lock(mutex_);
   routes::FollowNewer(evacuated_, evacuated);
@@ -26,7 +31,10 @@
 void EvacuationView::AnswerPoll(const proto::EntryPoll& poll,
                                 proto::EntryPollReply& reply) const {
   std::lock_guard lock(mutex_);
-  reply.set_evacuation_known(is_known_ && reply.current());
+  const bool is_known = is_known_ && reply.current();
+  reply.set_evacuation_known(is_known);
+  reply.set_evacuation_unconfirmed(!is_known &&
+                                   (has_pending_ || evacuated_.version > 0));
   if (evacuated_.version > poll.evacuation_version()) {
     *reply.mutable_evacuated() = proto::ToMessage(evacuated_);
   }
--- a/libs/control/src/evacuation_view.h
+++ b/libs/control/src/evacuation_view.h
@@ -17,6 +17,9 @@
 // Thread-safe.
 class EvacuationView {
  public:
+  // The log of this VM holds an order that it has not applied.
+  void OnPending();
+
   // A version that this VM has applied.
   void OnApplied(const routes::EvacuatedDomains& evacuated);
 
@@ -36,6 +39,7 @@
   // Guarded by `mutex_`.
   routes::EvacuatedDomains evacuated_;
   bool is_known_ = false;
+  bool has_pending_ = false;
 };
 
 }  // namespace gooseberryrock::control
--- a/libs/control/src/replicated_log.cc
+++ b/libs/control/src/replicated_log.cc
@@ -145,6 +145,12 @@
     if (stored.snapshot.last.index > 0) {
       machine.restore(stored.snapshot.data);
     }
+    for (const consensus::LogEntry& it : stored.entries) {
+      if (machine.on_stored && it.kind == consensus::EntryKind::kCommand &&
+          it.position.index > stored.hard_state.commit_index) {
+        machine.on_stored(it.payload);
+      }
+    }
     telemetry::LogEvent(
         telemetry::LogLevel::kInfo, "storage_opened",
         {{"node", options.self.value},
--- a/libs/entry/src/cold_part.cc
+++ b/libs/entry/src/cold_part.cc
@@ -8,18 +8,19 @@
 namespace gooseberryrock::entry {
 
 uint32_t ColdPart(uint32_t burst,
-                  directory::Reservation nodes,
+                  const directory::Reservation& nodes,
                   directory::ReservedPlace place,
                   const ShardPlace& shard,
                   const FailureDomain& server_domain,
                   uint64_t rotation) {
   // Each I/O shard has a place of its own: a fraction of a request cannot be
   // sent.
-  for (auto& [domain, n] : nodes) {
+  directory::Reservation places = nodes;
+  for (auto& [domain, n] : places) {
     n *= shard.shards;
   }
   place.position = place.position * shard.shards + shard.index;
-  return directory::ConnectionShare(burst, nodes, server_domain, place,
+  return directory::ConnectionShare(burst, places, server_domain, place,
                                     rotation);
 }
 
--- a/libs/entry/src/cold_part.h
+++ b/libs/entry/src/cold_part.h
@@ -21,7 +21,7 @@
 // requests to a server of `server_domain`. The parts of all shards of all nodes
 // add up to `burst`. `rotation` selects the shards that get none.
 uint32_t ColdPart(uint32_t burst,
-                  directory::Reservation nodes,
+                  const directory::Reservation& nodes,
                   directory::ReservedPlace place,
                   const ShardPlace& shard,
                   const FailureDomain& server_domain,
--- a/libs/entry/src/control_poller.cc
+++ b/libs/entry/src/control_poller.cc
@@ -306,7 +306,7 @@
     }
     AddControlVms(others);
     // Before the routes and servers, which requests may wait for.
-    OnEvacuation(newest, reply.evacuation_known());
+    OnEvacuation(newest, reply);
     if (reply.has_routes()) {
       OnRoutes(reply.routes());
     }
@@ -399,16 +399,21 @@
     return found ? std::optional(std::move(plan)) : std::nullopt;
   }
 
-  void OnEvacuation(const routes::EvacuatedDomains& newest, bool is_known) {
+  void OnEvacuation(const routes::EvacuatedDomains& newest,
+                    const proto::EntryPollReply& reply) {
+    bool is_unconfirmed = false;
     {
       std::lock_guard lock(mutex);
-      const bool follows = routes::FollowNewer(evacuated, newest);
-      if (!follows && (!is_known || evacuation_known)) {
+      evacuation_known = evacuation_known || reply.evacuation_known();
+      is_unconfirmed = !evacuation_known && (evacuation_unconfirmed ||
+                                             reply.evacuation_unconfirmed());
+      const bool changed_here = is_unconfirmed != evacuation_unconfirmed;
+      evacuation_unconfirmed = is_unconfirmed;
+      if (!routes::FollowNewer(evacuated, newest) && !changed_here) {
         return;
       }
-      evacuation_known = evacuation_known || is_known;
     }
-    events.on_evacuation(newest, is_known);
+    events.on_evacuation(newest, is_unconfirmed);
   }
 
   void OnRoutes(const proto::RouteDocument& document) {
@@ -455,7 +460,9 @@
   std::optional<SteadyTime> last_reply_at;
   bool in_contact = true;
   routes::EvacuatedDomains evacuated;
+  // A control VM knows the newest orders, or has some that may not be them.
   bool evacuation_known = false;
+  bool evacuation_unconfirmed = false;
   bool stopping = false;
   // The failure domain of a control VM became known during startup.
   bool poll_now = false;
--- a/libs/entry/src/control_poller.h
+++ b/libs/entry/src/control_poller.h
@@ -28,9 +28,9 @@
   std::function<void(std::vector<ServerChange>)> on_servers;
   std::function<void(ConnectionPlan)> on_plan;
   std::function<void(routes::RouteConfirmation)> on_confirmation;
-  // `is_known` is false while no control VM has reported that it knows the
-  // newest version.
-  std::function<void(const routes::EvacuatedDomains&, bool is_known)>
+  // `is_unconfirmed` while control VMs have orders that may not be the newest
+  // ones, and none has reported that it knows these.
+  std::function<void(const routes::EvacuatedDomains&, bool is_unconfirmed)>
       on_evacuation;
   // Called when the node has been cut off from all control VMs for a while, and
   // when it is in contact again.
--- a/libs/entry/src/entry_node.cc
+++ b/libs/entry/src/entry_node.cc
@@ -231,9 +231,9 @@
       }
     };
     events.on_evacuation = [this](const routes::EvacuatedDomains& evacuated,
-                                  bool is_known) {
+                                  bool is_unconfirmed) {
       for (auto& it : shards) {
-        it->SetEvacuation(evacuated, is_known);
+        it->SetEvacuation(evacuated, is_unconfirmed);
       }
     };
     events.on_contact = [this](bool in_contact) {
--- a/libs/entry/src/entry_shard.cc
+++ b/libs/entry/src/entry_shard.cc
@@ -195,10 +195,19 @@
     Deny(*exchange, caller, *route, is_confirmed);
     return;
   }
-  if (may_park && (!evacuation_known_ || !KnowsServers(*route))) {
+  if (may_park && (AwaitsEvacuation(now) || !KnowsServers(*route))) {
     ParkRequest(std::move(exchange), caller);
     return;
   }
+  if (AwaitsEvacuation(now)) {
+    telemetry::LogEvent(LogLevel::kWarning, "request_refused",
+                        {{"request", caller.id},
+                         {"route", route->name},
+                         {"reason", "evacuation_not_confirmed"}});
+    exchange->Respond(codec_.encode_refused(
+        {relay::RefusalReason::kNoServer, kNoRoutesRetryAfter}));
+    return;
+  }
   if (answer_by_ && !relay::FitsBefore(*answer_by_, *route, now)) {
     telemetry::LogEvent(LogLevel::kWarning, "request_refused",
                         {{"request", caller.id},
--- a/libs/entry/src/entry_shard.h
+++ b/libs/entry/src/entry_shard.h
@@ -113,9 +113,10 @@
   void SetConnectionPlan(ConnectionPlan plan);
   // Whether control VMs have replied recently.
   void SetContact(bool in_contact);
-  // `is_known` is false while a newer version may exist that no control VM
-  // could report yet.
-  void SetEvacuation(const routes::EvacuatedDomains& evacuated, bool is_known);
+  // `is_unconfirmed` while newer orders may exist that no control VM could
+  // report yet.
+  void SetEvacuation(const routes::EvacuatedDomains& evacuated,
+                     bool is_unconfirmed);
   // Handles a notice that another I/O shard received.
   void OnNotice(const ServerNotice& notice);
   // Answers all requests by `answer_by`, and refuses those that are unlikely to
@@ -202,6 +203,9 @@
   // Whether the node started so recently that it may not have received all
   // routes and servers.
   bool IsDiscovering(SteadyTime now) const;
+  // Whether the node must not send requests yet because it may not know which
+  // failure domains are evacuated.
+  bool AwaitsEvacuation(SteadyTime now) const;
   bool KnowsServers(const routes::Route& route);
   void ParkRequest(std::shared_ptr<transport::Exchange> exchange,
                    const CallerRequest& caller);
@@ -318,7 +322,7 @@
   std::map<BackendServerId, directory::ServerRecord> records_;
   ConnectionPlan plan_;
   routes::EvacuatedDomains evacuated_;
-  bool evacuation_known_ = false;
+  bool evacuation_unconfirmed_ = false;
   bool in_contact_ = true;
   relay::GatherInputs gather_inputs_;
   relay::NodesByDomain gather_nodes_;
--- a/libs/entry/src/entry_shard_evacuation.cc
+++ b/libs/entry/src/entry_shard_evacuation.cc
@@ -15,10 +15,10 @@
 namespace gooseberryrock::entry {
 
 void EntryShard::SetEvacuation(const routes::EvacuatedDomains& evacuated,
-                               bool is_known) {
-  thread_.Post([this, evacuated, is_known] {
+                               bool is_unconfirmed) {
+  thread_.Post([this, evacuated, is_unconfirmed] {
     std::lock_guard lock(mutex_);
-    evacuation_known_ = evacuation_known_ || is_known;
+    evacuation_unconfirmed_ = is_unconfirmed;
     if (routes::FollowNewer(evacuated_, evacuated)) {
       std::string domains;
       for (const FailureDomain& it : evacuated_.domains) {
@@ -34,6 +34,10 @@
   });
 }
 
+bool EntryShard::AwaitsEvacuation(SteadyTime now) const {
+  return evacuation_unconfirmed_ && IsDiscovering(now);
+}
+
 void EntryShard::CancelEvacuatedWaits() {
   if (evacuated_.domains.empty()) {
     return;
--- a/libs/entry/src/entry_shard_gather.cc
+++ b/libs/entry/src/entry_shard_gather.cc
@@ -179,7 +179,7 @@
     exchange->Respond(EncodeGatherRefusal(GatherRefusal::kTryAnotherNode));
     return;
   }
-  if (IsDiscovering(now) && (!evacuation_known_ || !KnowsServers(*route))) {
+  if (AwaitsEvacuation(now) || (IsDiscovering(now) && !KnowsServers(*route))) {
     exchange->Respond(EncodeGatherRefusal(GatherRefusal::kStopping));
     return;
   }
--- a/tests/control/evacuation_view_test.cc
+++ b/tests/control/evacuation_view_test.cc
@@ -45,11 +45,25 @@
   EvacuationView view;
   view.OnApplied(Evacuated(1));
   EXPECT_FALSE(Answer(view, 0).evacuation_known());
+  EXPECT_TRUE(Answer(view, 0).evacuation_unconfirmed());
   view.OnConfirmed(Evacuated(2));
   EXPECT_TRUE(Answer(view, 0).evacuation_known());
+  EXPECT_FALSE(Answer(view, 0).evacuation_unconfirmed());
   EXPECT_EQ(Answer(view, 0).evacuated().version(), 2U);
   EXPECT_FALSE(Answer(view, 0, /*current=*/false).evacuation_known());
 }
 
+// Guards against nodes that send requests to evacuated servers after a loss of
+// power, before the order at the end of the log is known to be committed, and
+// against nodes that wait although no order was ever given.
+TEST(EvacuationViewTest, OrdersInTheLogAreUnconfirmed) {
+  EvacuationView view;
+  EXPECT_FALSE(Answer(view, 0).evacuation_unconfirmed());
+  view.OnPending();
+  EXPECT_TRUE(Answer(view, 0).evacuation_unconfirmed());
+  view.OnConfirmed({});
+  EXPECT_FALSE(Answer(view, 0).evacuation_unconfirmed());
+}
+
 }  // namespace
 }  // namespace gooseberryrock::control
