--- a/libs/entry/src/control_poller.cc
+++ b/libs/entry/src/control_poller.cc
@@ -26,6 +26,7 @@
 #include "gooseberryrock/proto/binary_codec.h"
 #include "gooseberryrock/proto/convert_claims.h"
 #include "gooseberryrock/proto/convert_directory.h"
+#include "gooseberryrock/proto/convert_evacuation.h"
 #include "gooseberryrock/proto/convert_node_list.h"
 #include "gooseberryrock/proto/malformed_message_error.h"
 #include "gooseberryrock/routes/route_error.h"
@@ -49,6 +50,10 @@
 // that lost its disk or was partitioned may not know all servers yet.
 constexpr size_t kInitialDirectories = 3;
 
+// A node without a reply for this long counts as cut off. Control VMs let the
+// others divide the limits of servers again 10 s after its last poll.
+constexpr Duration kCutOffTime = std::chrono::seconds(8);
+
 // Limits the size of a poll; the other records follow in the next one.
 constexpr size_t kMaxCrashNotices = 64;
 
@@ -139,6 +144,7 @@
     std::unique_lock lock(mutex);
     while (!stopping) {
       Poll();
+      CheckContact(BootTime());
       const auto expired_servers =
           ExpireRememberedServers(known_servers, BootTime());
       if (!expired_servers.empty()) {
@@ -154,6 +160,15 @@
     }
   }
 
+  // Requires `mutex`.
+  void CheckContact(SteadyTime now) {
+    const bool is_now = !last_reply_at || now - *last_reply_at < kCutOffTime;
+    if (is_now != in_contact) {
+      in_contact = is_now;
+      events.on_contact(is_now);
+    }
+  }
+
   bool IsUpToDate(const ControlVm& vm, SteadyTime now) const {
     return vm.current && vm.replied_at &&
            now - *vm.replied_at < settings.poll_reply_timeout;
@@ -226,6 +241,7 @@
     proto::SetKnownNodeList(entry_nodes, poll);
     poll.set_without_directory(!with_directory);
     poll.set_sent_us(ToMicroseconds(now));
+    poll.set_evacuation_version(evacuated.version);
     if (with_directory) {
       poll.set_directory_incarnation(vm.incarnation);
       poll.set_directory_count(vm.directory_count);
@@ -301,11 +317,15 @@
                const proto::EntryPollReply& reply) {
     const std::vector<directory::ServerRecord> records =
         ReadRecords(frame.sender, reply.records());
+    const routes::EvacuatedDomains newest =
+        proto::FromMessage(reply.evacuated());
     std::vector<NodeId> others;
     for (const std::string& it : reply.control_vms()) {
       others.push_back({it});
     }
     AddControlVms(others);
+    // Before the routes and servers, which requests may wait for.
+    OnEvacuation(newest, reply);
     OnRoutes(reply);
     if (reply.confirmed_version() > 0) {
       events.on_confirmation(ReadConfirmation(reply));
@@ -325,6 +345,7 @@
       }
       vm.domain = {reply.failure_domain()};
       vm.replied_at = BootTime();
+      last_reply_at = vm.replied_at;
       vm.current = reply.current();
       vm.crashes_known = reply.crashes_count();
       // A new process has none of the records that its predecessor received.
@@ -394,6 +415,23 @@
     return plan;
   }
 
+  void OnEvacuation(const routes::EvacuatedDomains& newest,
+                    const proto::EntryPollReply& reply) {
+    bool is_unconfirmed = false;
+    {
+      std::lock_guard lock(mutex);
+      evacuation_known = evacuation_known || reply.evacuation_known();
+      is_unconfirmed = !evacuation_known && (evacuation_unconfirmed ||
+                                             reply.evacuation_unconfirmed());
+      const bool changed_here = is_unconfirmed != evacuation_unconfirmed;
+      evacuation_unconfirmed = is_unconfirmed;
+      if (!routes::FollowNewer(evacuated, newest) && !changed_here) {
+        return;
+      }
+    }
+    events.on_evacuation(newest, is_unconfirmed);
+  }
+
   void OnRoutes(const proto::EntryPollReply& reply) {
     const uint64_t version = RoutesVersion(reply);
     FollowedText followed;
@@ -465,6 +503,12 @@
   // Of the routes in force.
   FollowedText routes_text;
   bool has_directory = false;
+  std::optional<SteadyTime> last_reply_at;
+  bool in_contact = true;
+  routes::EvacuatedDomains evacuated;
+  // A control VM knows the newest orders, or has some that may not be them.
+  bool evacuation_known = false;
+  bool evacuation_unconfirmed = false;
   bool stopping = false;
   // The failure domain of a control VM became known during startup, a reply
   // left out records, or there are new limits.
--- a/libs/entry/src/entry_node.cc
+++ b/libs/entry/src/entry_node.cc
@@ -115,7 +115,7 @@
           settings.route_confirmation_lifetime,
           EntryShardDependencies{
               [this, i](const ServerNotice& it) { PassOn(it, i); },
-              crash_history, allotments, *reply_memory.back(), metrics}));
+              crash_history, allotments, *reply_memory.back(), metrics, i}));
       ConnectionPlan plan;
       plan.place.domain = settings.failure_domain;
       shards.back()->SetConnectionPlan(std::move(plan));
@@ -260,6 +260,17 @@
         it->SetConnectionPlan(plan);
       }
     };
+    events.on_evacuation = [this](const routes::EvacuatedDomains& evacuated,
+                                  bool is_unconfirmed) {
+      for (auto& it : shards) {
+        it->SetEvacuation(evacuated, is_unconfirmed);
+      }
+    };
+    events.on_contact = [this](bool in_contact) {
+      for (auto& it : shards) {
+        it->SetContact(in_contact);
+      }
+    };
     events.on_confirmation = [this](const routes::RouteConfirmation& it) {
       for (auto& shard : shards) {
         shard->SetConfirmation(it);
--- a/libs/entry/src/entry_shard.cc
+++ b/libs/entry/src/entry_shard.cc
@@ -58,6 +58,7 @@
       codec_(codec),
       policy_(policy),
       shards_(shards),
+      shard_index_(deps.shard_index),
       on_notice_(std::move(deps.on_notice)),
       crash_history_(deps.crash_history),
       allotments_(deps.allotments),
@@ -196,10 +197,19 @@
     Deny(*exchange, caller, *route, is_confirmed);
     return;
   }
-  if (may_park && !KnowsServers(*route)) {
+  if (may_park && (AwaitsEvacuation(now) || !KnowsServers(*route))) {
     ParkRequest(std::move(exchange), caller);
     return;
   }
+  if (AwaitsEvacuation(now)) {
+    telemetry::LogEvent(LogLevel::kWarning, "request_refused",
+                        {{"request", caller.id},
+                         {"route", route->name},
+                         {"reason", "evacuation_not_confirmed"}});
+    exchange->Respond(codec_.encode_refused(
+        {relay::RefusalReason::kNoServer, kNoRoutesRetryAfter}));
+    return;
+  }
   if (answer_by_ && !relay::FitsBefore(*answer_by_, *route, now)) {
     telemetry::LogEvent(LogLevel::kWarning, "request_refused",
                         {{"request", caller.id},
@@ -288,7 +298,8 @@
                                      table_, route, organisation);
   const bool is_gathered =
       std::holds_alternative<routes::ShardedTarget>(route.target);
-  if (!is_gathered || !PassOn(active, received)) {
+  if (!is_gathered || !EvacuationLeavesCoverage(route) ||
+      !PassOn(active, received)) {
     Run(active, received, attempts);
   }
 }
