--- a/libs/allotments/src/allotment_ledger.cc
+++ b/libs/allotments/src/allotment_ledger.cc
@@ -12,7 +12,7 @@
 // After a start the totals of the other control VMs and of the nodes are known
 // by then: nodes find this VM within 0.75 s, and complete totals come each
 // second.
-constexpr Duration kStartTime = std::chrono::milliseconds(1500);
+constexpr Duration kStartTime = std::chrono::milliseconds(1250);
 // With the tokens of a control VM that grants, only the counts of the nodes are
 // missing, which it charges as well.
 constexpr Duration kShortStartTime = std::chrono::milliseconds(500);
@@ -82,16 +82,13 @@
   budget.refilled_at = std::max(budget.refilled_at, now);
 }
 
-// Requests that are reported during the start were sent before it, at least in
-// part, and make no debt.
 void Charge(const AllotmentLedger& ledger,
             OrganisationBudget& budget,
             double requests,
             SteadyTime now) {
   Refill(budget, now);
-  const double least = IsReady(ledger, now) ? -MaxDebt(ledger, budget)
-                                            : std::min(0.0, budget.tokens);
-  budget.tokens = std::max(budget.tokens - requests, least);
+  budget.tokens =
+      std::max(budget.tokens - requests, -MaxDebt(ledger, budget));
 }
 
 void CountDemand(SourceCounts& counts,
@@ -159,7 +156,9 @@
   }
 }
 
-void ChargeSilentNodes(AllotmentLedger& ledger, double seconds, SteadyTime now) {
+void ChargeSilentNodes(AllotmentLedger& ledger,
+                       double seconds,
+                       SteadyTime now) {
   std::erase_if(ledger.nodes, [now](const auto& it) {
     return now - it.second.heard_at >= kNodeLifetime;
   });
@@ -202,9 +201,9 @@
                   bool returns_tokens) {
   budget.available = std::clamp(available, kMinAvailable, 1.0);
   const BucketSize full = SizeOf(budget.limit, ledger.policy);
-  const double size = full.burst * budget.available +
-                      std::max(full.spare * budget.available,
-                               std::min(full.spare, kMinSpare));
+  const double size =
+      full.burst * budget.available +
+      std::max(full.spare * budget.available, std::min(full.spare, kMinSpare));
   // The part of the others is theirs from the start of the silence.
   const double change = size - budget.size;
   if (change < 0 || returns_tokens) {
@@ -239,8 +238,8 @@
       }
       if (source.is_silent) {
         kept[hash] += counts.share * factor;
-        counts.prepaid += budget.limit.requests_per_second * counts.share *
-                          factor * seconds;
+        counts.prepaid +=
+            budget.limit.requests_per_second * counts.share * factor * seconds;
       }
       if (source.is_silent && !was_silent) {
         // Its part of the bucket is taken as well.
@@ -275,10 +274,9 @@
   ledger.heard_granting = true;
   for (auto& [hash, budget] : ledger.organisations) {
     const auto it = totals.organisations.find(hash);
-    const double tokens =
-        it != totals.organisations.end() && it->second.tokens
-            ? *it->second.tokens
-            : budget.size;
+    const double tokens = it != totals.organisations.end() && it->second.tokens
+                              ? *it->second.tokens
+                              : budget.size;
     budget.tokens =
         budget.is_taken_over ? std::min(budget.tokens, tokens) : tokens;
     budget.is_taken_over = true;
@@ -295,8 +293,7 @@
   if (allowed <= 0) {
     return 0;
   }
-  const double demand =
-      DemandOf(ledger, hash, budget, now);
+  const double demand = DemandOf(ledger, hash, budget, now);
   return demand > allowed ? allowed / demand : 1;
 }
 
@@ -319,9 +316,8 @@
     // Advance() was not called while there were no limits.
     ledger.advanced_at = now;
   }
-  std::erase_if(ledger.organisations, [&](const auto& it) {
-    return !limits.contains(it.first);
-  });
+  std::erase_if(ledger.organisations,
+                [&](const auto& it) { return !limits.contains(it.first); });
   for (const auto& [hash, limit] : limits) {
     const auto [it, is_new] = ledger.organisations.try_emplace(hash);
     OrganisationBudget& budget = it->second;
@@ -329,8 +325,9 @@
     if (is_new) {
       budget.limit = limit;
       budget.size = size.Total();
-      // What was spent before the start is not known.
-      budget.tokens = IsReady(ledger, now) ? size.Total() : size.spare;
+      // During a start the nodes report what they have admitted since their
+      // last grants, which is charged.
+      budget.tokens = size.Total();
       budget.refilled_at = now;
     } else if (budget.limit != limit) {
       Refill(budget, now);
@@ -494,8 +491,7 @@
       grant.organisations[hash].fraction = fraction;
     }
     if (report.counts.contains(hash)) {
-      grant.organisations[hash].demand =
-          UsualDemand(ledger, hash, budget, now);
+      grant.organisations[hash].demand = UsualDemand(ledger, hash, budget, now);
     }
   }
   return grant;
--- a/libs/allotments/src/node_allotments.cc
+++ b/libs/allotments/src/node_allotments.cc
@@ -27,8 +27,7 @@
 constexpr double kMaxRetrySeconds = 5;
 
 double ShareOf(const NodeAllotments& node, const OrganisationUse& use) {
-  const double equal =
-      node.nodes > 0 ? 1 / static_cast<double>(node.nodes) : 0;
+  const double equal = node.nodes > 0 ? 1 / static_cast<double>(node.nodes) : 0;
   return std::clamp(use.share.value_or(equal), kMinShare * equal, 1.0);
 }
 
@@ -41,16 +40,15 @@
   const double seconds = SecondsBetween(use.refilled_at, now);
   use.refilled_at = std::max(use.refilled_at, now);
   const double tokens = use.limit.requests_per_second * seconds;
-  use.tokens = std::min(SizeOf(use.limit, node.policy).Total(),
-                        use.tokens + tokens);
+  use.tokens =
+      std::min(SizeOf(use.limit, node.policy).Total(), use.tokens + tokens);
   const double ended =
       node.granted_at ? SecondsBetween(*node.granted_at + kGrantLifetime, now)
                       : 0;
-  use.fallback_tokens =
-      std::min(FallbackSize(node, use),
-               use.fallback_tokens + tokens * ShareOf(node, use) *
-                                         std::exp2(-ended /
-                                                   kShareHalfLifeSeconds));
+  use.fallback_tokens = std::min(
+      FallbackSize(node, use),
+      use.fallback_tokens + tokens * ShareOf(node, use) *
+                                std::exp2(-ended / kShareHalfLifeSeconds));
 }
 
 bool MayAdmit(const NodeAllotments& node,
@@ -134,10 +132,9 @@
     return {};
   }
   std::uniform_real_distribution<double> spread(1, 2);
-  const double seconds =
-      std::clamp(1 / use.limit.requests_per_second, kMinRetrySeconds,
-                 kMaxRetrySeconds) *
-      spread(node.random);
+  const double seconds = std::clamp(1 / use.limit.requests_per_second,
+                                    kMinRetrySeconds, kMaxRetrySeconds) *
+                         spread(node.random);
   return {false, std::chrono::duration_cast<Duration>(
                      std::chrono::duration<double>(seconds))};
 }
--- a/libs/control/src/allotment_exchange.cc
+++ b/libs/control/src/allotment_exchange.cc
@@ -96,9 +96,9 @@
   } catch (const routes::RouteError& e) {
     // A VM with another release has accepted the routes. The limits in force
     // are kept, and nodes with the new routes get no grants from this VM.
-    telemetry::LogEvent(telemetry::LogLevel::kError, "allotments_not_read",
-                        {{"version", std::to_string(stored.version)},
-                         {"error", e.what()}});
+    telemetry::LogEvent(
+        telemetry::LogLevel::kError, "allotments_not_read",
+        {{"version", std::to_string(stored.version)}, {"error", e.what()}});
   }
   lock.lock();
   if (limits && stored.version > ledger_.limits_version) {
--- a/libs/control/src/control_peers.cc
+++ b/libs/control/src/control_peers.cc
@@ -126,11 +126,11 @@
         peer.entry_nodes.empty()) {
       continue;
     }
-    const auto n = std::count_if(
-        peer.entry_nodes.begin(), peer.entry_nodes.end(),
-        [&](const auto& it) { return heard.contains(it.first); });
-    moved[vm] = static_cast<double>(n) /
-                static_cast<double>(peer.entry_nodes.size());
+    const auto n =
+        std::count_if(peer.entry_nodes.begin(), peer.entry_nodes.end(),
+                      [&](const auto& it) { return heard.contains(it.first); });
+    moved[vm] =
+        static_cast<double>(n) / static_cast<double>(peer.entry_nodes.size());
   }
   return moved;
 }
--- a/tests/allotments/allotment_simulation_test.cc
+++ b/tests/allotments/allotment_simulation_test.cc
@@ -226,12 +226,11 @@
 
   // Runs `action` when a message from one domain arrives in another one.
   void Send(size_t from, size_t to, std::function<void()> action) {
-    At(now + Delay(from, to),
-       [this, from, to, action = std::move(action)] {
-         if (IsConnected(from, to)) {
-           action();
-         }
-       });
+    At(now + Delay(from, to), [this, from, to, action = std::move(action)] {
+      if (IsConnected(from, to)) {
+        action();
+      }
+    });
   }
 
   void StartVm(size_t i) {
@@ -282,7 +281,8 @@
   }
 
   // As ControlPoller::Poll(): the VMs of the node's domain up to the first one
-  // that replies, otherwise another one. The first that replies gets the report.
+  // that replies, otherwise another one. The first that replies gets the
+  // report.
   void Poll(size_t i) {
     Node& node = nodes_[i];
     const size_t domain = i % kDomains;
@@ -467,8 +467,7 @@
         FloodInTurn(it, 8);
         const size_t n = it.NodeCount();
         for (size_t i = 0; i < n; ++i) {
-          it.RestartNode(i,
-                         kLoadStart + seconds(2) + i * seconds(20) / (2 * n),
+          it.RestartNode(i, kLoadStart + seconds(2) + i * seconds(20) / (2 * n),
                          seconds(1));
         }
       },
@@ -480,8 +479,8 @@
       [](auto& it) {
         FloodInTurn(it, 8);
         it.choose_node = [&it](size_t organisation) -> size_t {
-          const auto moves = std::chrono::floor<seconds>(it.now - kLoadStart) /
-                             seconds(3);
+          const auto moves =
+              std::chrono::floor<seconds>(it.now - kLoadStart) / seconds(3);
           return organisation < 10
                      ? (organisation + static_cast<size_t>(moves)) %
                            it.NodeCount()
--- a/tests/settings/tier_settings_test.cc
+++ b/tests/settings/tier_settings_test.cc
@@ -39,9 +39,9 @@
 // Guards against allotments that are enforced by other bounds than those of the
 // deployment.
 TEST_F(TierSettingsTest, AllotmentBoundsAreRead) {
-  const TierSettings settings = Load(
-      R"(, "allotment_window_s": 4, "allotment_overage": 0.2,)"
-      R"( "allotment_slack": 7)");
+  const TierSettings settings =
+      Load(R"(, "allotment_window_s": 4, "allotment_overage": 0.2,)"
+           R"( "allotment_slack": 7)");
   EXPECT_EQ(settings.allotment_window, std::chrono::seconds(4));
   EXPECT_EQ(settings.allotment_overage, 0.2);
   EXPECT_EQ(settings.allotment_slack, 7);
