allotments: serve organisations again soon after a flood

The average of the arrivals kept a middle organisation partly refused for 2 s after a flood, and TierAllotmentTest saw it at 2 s. The lower one of two averages counts now.

--- a/libs/allotments/include/gooseberryrock/allotments/allotment_ledger.h
+++ b/libs/allotments/include/gooseberryrock/allotments/allotment_ledger.h
@@ -25,7 +25,8 @@
 struct SourceCounts {
   RequestCounts last;
   RequestRate demand;
-  // Average over a longer time.
+  // Averages over a shorter and a longer time.
+  RequestRate recent;
   RequestRate usual;
   // Requests that were charged, or kept free, while the source was silent.
   double prepaid = 0;
@@ -57,6 +58,7 @@
   // Of the nodes that report to this control VM.
   RequestCounts own;
   RequestRate demand;
+  RequestRate recent;
   RequestRate usual;
   // When `own` changed.
   SteadyTime changed_at;
--- a/libs/allotments/src/allotment_ledger.cc
+++ b/libs/allotments/src/allotment_ledger.cc
@@ -47,6 +47,7 @@
 constexpr double kMinDemandSeconds = 0.4;
 constexpr double kMaxDemandSeconds = 5;
 constexpr double kRequestsInDemandPeriod = 8;
+constexpr int kRecentPeriods = 3;
 // Shares of the demand change slowly, and floods do not belong to them.
 constexpr Duration kSharePeriod = std::chrono::seconds(5);
 // The share of a control VM is that of the time when its last totals arrived:
@@ -64,6 +65,11 @@
                  kMinDemandSeconds, kMaxDemandSeconds));
 }
 
+Duration RecentPeriod(const organisations::Allotment& limit) {
+  return std::max(DemandPeriod(limit) / kRecentPeriods,
+                  ToDuration(kMinDemandSeconds));
+}
+
 bool IsReady(const AllotmentLedger& ledger, SteadyTime now) {
   const Duration age = now - ledger.started_at;
   return age >= kStartTime || (ledger.heard_granting && age >= kShortStartTime);
@@ -87,17 +93,19 @@
             double requests,
             SteadyTime now) {
   Refill(budget, now);
-  budget.tokens =
-      std::max(budget.tokens - requests, -MaxDebt(ledger, budget));
+  budget.tokens = std::max(budget.tokens - requests, -MaxDebt(ledger, budget));
 }
 
-void CountDemand(SourceCounts& counts,
+// `to` is a source or the budget of the organisation.
+template <typename Counts>
+void CountDemand(Counts& to,
                  const OrganisationBudget& budget,
                  uint64_t arrivals,
                  SteadyTime now) {
   const auto n = static_cast<double>(arrivals);
-  AddRequests(counts.demand, n, DemandPeriod(budget.limit), now);
-  AddRequests(counts.usual, n, kSharePeriod, now);
+  AddRequests(to.demand, n, DemandPeriod(budget.limit), now);
+  AddRequests(to.recent, n, RecentPeriod(budget.limit), now);
+  AddRequests(to.usual, n, kSharePeriod, now);
 }
 
 // The usual demand that a source had when it was last heard.
@@ -119,20 +127,24 @@
   return demand;
 }
 
-// Of the nodes that are heard of.
+// Of the nodes that are heard of. After a flood the shorter average is the
+// lower one; without it, small organisations were refused for seconds more.
 double DemandOf(const AllotmentLedger& ledger,
                 OrganisationHash hash,
                 const OrganisationBudget& budget,
                 SteadyTime now) {
   const Duration period = DemandPeriod(budget.limit);
+  const Duration recent_period = RecentPeriod(budget.limit);
   double demand = RateAt(budget.demand, period, now);
+  double recent = RateAt(budget.recent, recent_period, now);
   for (const auto& [node, source] : ledger.control_vms) {
     const auto it = source.organisations.find(hash);
     if (!source.is_silent && it != source.organisations.end()) {
       demand += RateAt(it->second.demand, period, now);
+      recent += RateAt(it->second.recent, recent_period, now);
     }
   }
-  return demand;
+  return std::min(demand, recent);
 }
 
 double SilenceFactor(const AllotmentSource& source,
@@ -396,10 +408,8 @@
         reported.now, has_earlier ? counts.last : reported.acknowledged);
     counts.last = reported.now;
     if (!is_first) {
-      const auto arrivals = static_cast<double>(added.arrivals);
       CountDemand(counts, budget, added.arrivals, now);
-      AddRequests(budget.demand, arrivals, DemandPeriod(budget.limit), now);
-      AddRequests(budget.usual, arrivals, kSharePeriod, now);
+      CountDemand(budget, budget, added.arrivals, now);
     }
     const double charged = NotPrepaid(counts, added.admitted);
     budget.own.arrivals += added.arrivals;
