--- a/tests/relay/domain_crossing_test.cc
+++ b/tests/relay/domain_crossing_test.cc
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <cstdint>
+
 #include "gooseberryrock/relay/domain_crossing.h"
 #include "relay_fixture.h"
 
@@ -21,7 +24,7 @@
 
 // Guards against work that leaves a domain whose servers have room.
 TEST_F(DomainCrossingTest, NothingLeavesWhileOwnServersAreCheaper) {
-  for (int i = 1; i < 100; ++i) {
+  for (int64_t i = 1; i < 100; ++i) {
     Update(Ms(20), Ms(26), kStart + Ms(10 * i));
     EXPECT_EQ(crossing_.share, 0);
   }
@@ -29,11 +32,11 @@
 
 // Guards against all work leaving a domain that lacks a part of it.
 TEST_F(DomainCrossingTest, ShareFollowsWhatIsLacking) {
-  for (int i = 1; i < 200; ++i) {
+  for (int64_t i = 1; i < 200; ++i) {
     Update(Ms(30), Ms(28), kStart + Ms(10 * i));
   }
   EXPECT_NEAR(crossing_.share, 2 / 7.5, 0.01);
-  for (int i = 200; i < 400; ++i) {
+  for (int64_t i = 200; i < 400; ++i) {
     Update(Ms(90), Ms(25), kStart + Ms(10 * i));
   }
   EXPECT_NEAR(crossing_.share, 1, 0.01);
@@ -44,7 +47,7 @@
 TEST_F(DomainCrossingTest, AlternatingCostsAreDamped) {
   double least = 1;
   double most = 0;
-  for (int i = 1; i < 400; ++i) {
+  for (int64_t i = 1; i < 400; ++i) {
     const bool own_is_full = i / 2 % 2 == 0;
     Update(own_is_full ? Ms(60) : Ms(10), Ms(30), kStart + Ms(10 * i));
     if (i > 200) {
