transport: give bodies with a Content-Length no more memory than that

std::string doubles its capacity when it grows by less, so that a body of 256 KiB took 510 KiB. Requests that wait behind an answer stay accounted for.

--- a/libs/transport/src/growing_body.h
+++ b/libs/transport/src/growing_body.h
@@ -45,14 +45,17 @@
     void finish(boost::beast::error_code& ec) { ec = {}; }
 
    private:
-    // Doubles the memory, but not beyond the Content-Length.
+    // Doubles the memory, but takes the Content-Length at once if less than
+    // another doubling would follow: std::string at least doubles its capacity
+    // whenever it grows.
     void Reserve(size_t n) {
       constexpr size_t kMinCapacity = 512;
-      if (n > body_.capacity()) {
-        const size_t doubled = std::max(body_.capacity() * 2, kMinCapacity);
-        body_.reserve(std::max(
-            n, static_cast<size_t>(std::min<uint64_t>(doubled, length_))));
+      if (n <= body_.capacity()) {
+        return;
       }
+      const size_t doubled = std::max({n, body_.capacity() * 2, kMinCapacity});
+      const bool is_last = length_ >= n && length_ < 2 * uint64_t{doubled};
+      body_.reserve(is_last ? static_cast<size_t>(length_) : doubled);
     }
 
     value_type& body_;
--- a/libs/transport/src/web_session.cc
+++ b/libs/transport/src/web_session.cc
@@ -411,8 +411,9 @@
   response_ = std::move(response);
   response_.keep_alive(keep_alive);
   response_.prepare_payload();
-  // The request is over; its answer is accounted for as a reply.
-  SetHeld(0);
+  // The request is over; its answer is accounted for as a reply. Requests behind
+  // it remain.
+  SetHeld(buffer_.capacity());
   reservation_.Start(memory_, "callers", [this] { GiveUpResponse(); });
   if (!reservation_.Resize(response_.body().capacity())) {
     return;
@@ -435,6 +436,9 @@
     return;
   }
   FreeLargeBuffer(buffer_);
+  if (buffer_.size() == 0) {
+    SetHeld(0);
+  }
   if (!keep_alive) {
     Linger();
     return;
