--- a/libs/transport/include/gooseberryrock/transport/caller_limits.h
+++ b/libs/transport/include/gooseberryrock/transport/caller_limits.h
@@ -31,7 +31,8 @@
   size_t per_address = 0;
 };
 
-// Slowest rate at which a caller may send a body, after a grace period.
+// Slowest rate at which a caller may send a body or take an answer, after a
+// grace period.
 struct MinRate {
   Duration grace = std::chrono::seconds(5);
   size_t bytes_per_second = 1024;
@@ -58,7 +59,7 @@
                                     const ConnectionLimits& limits,
                                     size_t newest);
 
-// Whether a caller that sent `bytes` of a body in `elapsed` is too slow.
+// Whether a caller that sent or took `bytes` in `elapsed` is too slow.
 bool IsTooSlow(size_t bytes, Duration elapsed, const MinRate& rate);
 
 // Limit on the connections to an interface that few callers use, such as the
--- a/libs/transport/src/web_session.cc
+++ b/libs/transport/src/web_session.cc
@@ -418,15 +418,29 @@
   if (!reservation_.Resize(response_.body().capacity())) {
     return;
   }
-  http::async_write(
-      socket_, response_,
-      [self = shared_from_this(), keep_alive](const ErrorCode& ec, size_t) {
-        self->OnWritten(static_cast<bool>(ec), keep_alive);
+  write_since_ = BootTime();
+  written_ = 0;
+  serializer_.emplace(response_);
+  WriteMore(keep_alive);
+}
+
+void WebSession::WriteMore(bool keep_alive) {
+  http::async_write_some(
+      socket_, *serializer_,
+      [self = shared_from_this(), keep_alive](const ErrorCode& ec, size_t n) {
+        self->written_ += n;
+        if (ec || self->state_ == State::kClosed ||
+            self->serializer_->is_done()) {
+          self->OnWritten(static_cast<bool>(ec), keep_alive);
+        } else {
+          self->WriteMore(keep_alive);
+        }
       });
 }
 
 void WebSession::OnWritten(bool failed, bool keep_alive) {
   reservation_.End();
+  serializer_.reset();
   response_ = Response();
   if (state_ == State::kClosed) {
     return;
@@ -492,6 +506,12 @@
              IsTooSlow(body_received_, now - body_since_,
                        shared_->Limits().min_rate)) {
     RespondToError(http::status::request_timeout, "too_slow");
+  } else if (state_ == State::kWriting &&
+             IsTooSlow(written_, now - write_since_,
+                       shared_->Limits().min_rate)) {
+    telemetry::LogEvent(telemetry::LogLevel::kWarning, "response_given_up",
+                        {{"reason", "too_slow"}});
+    Close();
   }
 }
 
--- a/libs/transport/src/web_session.h
+++ b/libs/transport/src/web_session.h
@@ -106,6 +106,7 @@
   void RespondToError(boost::beast::http::status status,
                       std::string_view reason);
   void CheckCallerDisconnected();
+  void WriteMore(bool keep_alive);
   void OnWritten(bool failed, bool keep_alive);
   void Linger();
   void DiscardInput();
@@ -135,6 +136,13 @@
   // The request in progress.
   std::weak_ptr<Exchange> exchange_;
   Response response_;
+  // Writes `response_`.
+  std::optional<
+      boost::beast::http::response_serializer<boost::beast::http::string_body>>
+      serializer_;
+  // Start of the writing, and bytes that the kernel has taken since.
+  SteadyTime write_since_;
+  size_t written_ = 0;
   ReplyMemory* const memory_;
   // The memory of `response_`.
   MemoryReservation reservation_;
--- a/tests/transport/web_server_test.cc
+++ b/tests/transport/web_server_test.cc
@@ -9,6 +9,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "gooseberryrock/transport/endpoint.h"
@@ -220,6 +221,25 @@
   EXPECT_TRUE(pending_.empty());
 }
 
+// Guards against answers that are kept for callers who do not read them.
+TEST_F(WebServerTest, AnswerThatIsNotReadIsGivenUp) {
+  WebLimits limits;
+  limits.min_rate = {milliseconds(100), size_t{1} << 30U};
+  server_->SetLimits(limits);
+  RawSocket caller(Connect(server_->port()));
+  caller.Send(kGet);
+  ASSERT_TRUE(WaitForRequests(1));
+  {
+    std::lock_guard lock(mutex_);
+    pending_.front()->request().body().assign(size_t{64} << 20U, 'x');
+  }
+  AnswerAll();
+  for (int i = 0; i < 40 && server_->OpenConnections() > 0; ++i) {
+    std::this_thread::sleep_for(milliseconds(50));
+  }
+  EXPECT_EQ(server_->OpenConnections(), 0U);
+}
+
 // Guards against a full account that refuses the caller who comes last instead
 // of the one who holds the most for its age.
 TEST_F(WebServerTest, FullAccountRefusesTheHeaviestRequest) {
