--- a/libs/control/src/entry_node_lists.cc
+++ b/libs/control/src/entry_node_lists.cc
@@ -119,31 +119,31 @@
   return lost;
 }
 
+bool EntryNodeLists::IsPresent(const Peer& peer, SteadyTime now) {
+  return now - peer.last_contact < kSilence;
+}
+
+bool EntryNodeLists::IsHeard(const node_list::ListedNode& node,
+                             SteadyTime now) const {
+  const auto poll = polls_.find(node.node);
+  return (poll != polls_.end() && now - poll->second.second < kSilence) ||
+         std::any_of(peers_.begin(), peers_.end(), [&](const auto& it) {
+           return IsPresent(it.second, now) &&
+                  Contains(it.second.nodes.list, node);
+         });
+}
+
 std::map<NodeId, double> EntryNodeLists::FindMovedNodes(SteadyTime now) const {
   std::lock_guard lock(mutex_);
-  const auto is_present = [&](const Peer& peer) {
-    return now - peer.last_contact < kSilence;
-  };
   std::map<NodeId, double> moved;
   for (const auto& [vm, peer] : peers_) {
-    if (is_present(peer) || peer.nodes.list.size == 0) {
+    if (IsPresent(peer, now) || peer.nodes.list.size == 0) {
       continue;
     }
     size_t n = 0;
     for (const auto& [domain, nodes] : peer.nodes.list.nodes) {
-      for (const NodeId& node : nodes) {
-        const auto poll = polls_.find(node);
-        const bool polls_this_vm =
-            poll != polls_.end() && now - poll->second.second < kSilence;
-        n +=
-            polls_this_vm || std::any_of(peers_.begin(), peers_.end(),
-                                         [&](const auto& it) {
-                                           return is_present(it.second) &&
-                                                  Contains(it.second.nodes.list,
-                                                           {domain, node});
-                                         })
-                ? 1
-                : 0;
+      for (const NodeId& it : nodes) {
+        n += IsHeard({domain, it}, now) ? 1 : 0;
       }
     }
     moved[vm] =
--- a/libs/control/src/entry_node_lists.h
+++ b/libs/control/src/entry_node_lists.h
@@ -69,6 +69,10 @@
     node_list::KnownNodeList known;
   };
 
+  static bool IsPresent(const Peer& peer, SteadyTime now);
+  // Whether the node polls this VM or one that is present. Requires `mutex_`.
+  bool IsHeard(const node_list::ListedNode& node, SteadyTime now) const;
+
   const uint64_t incarnation_;
 
   mutable std::mutex mutex_;
--- a/tests/process/tier_keys_test.cc
+++ b/tests/process/tier_keys_test.cc
@@ -143,6 +143,7 @@
   const std::map<std::string, int> before = cluster_.Executions();
   std::vector<http::status> statuses(8, http::status::unknown);
   std::vector<std::thread> callers;
+  callers.reserve(statuses.size());
   for (http::status& it : statuses) {
     callers.emplace_back([this, &it] {
       const auto reply = cluster_.SendRequest(1, "POST", "/one/x", seconds(10));
--- a/tests/process/tier_memory_test.cc
+++ b/tests/process/tier_memory_test.cc
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "raw_socket.h"
@@ -35,7 +36,7 @@
       : cluster_(
             testing::TempDir() + "tier-memory-" +
                 testing::UnitTest::GetInstance()->current_test_info()->name(),
-            options) {}
+            std::move(options)) {}
 
   void SetUp() override {
     ASSERT_TRUE(cluster_.PutRoutes(5));
--- a/tests/process/tier_reply_test.cc
+++ b/tests/process/tier_reply_test.cc
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "malformed_headers.h"
@@ -55,7 +56,7 @@
         cluster_(
             testing::TempDir() + "tier-reply-" +
                 testing::UnitTest::GetInstance()->current_test_info()->name(),
-            options) {}
+            std::move(options)) {}
 
   void SetUp() override {
     ASSERT_TRUE(cluster_.PutRoutes(5));
