--- a/apps/node/tier_commands.cc
+++ b/apps/node/tier_commands.cc
@@ -199,6 +199,8 @@
   entry.caller_connections = CallerConnections(settings);
   entry.extra_attempts = {settings.extra_attempt_share, settings.extra_attempts,
                           settings.extra_attempt_window};
+  entry.use_stated_slowness = settings.use_stated_slowness;
+  entry.refuse_unresponsive = settings.refuse_unresponsive;
   entry.allotments = AllotmentPolicyOf(settings);
   entry.stop_time = settings.stop_time;
   const settings::TierIntervals intervals =
--- a/libs/entry/include/gooseberryrock/entry/entry_settings.h
+++ b/libs/entry/include/gooseberryrock/entry/entry_settings.h
@@ -45,6 +45,10 @@
   // descriptors of the process.
   transport::ConnectionLimits caller_connections;
   relay::ExtraAttemptLimit extra_attempts;
+  // Whether servers are chosen by the slowness that they state, and whether
+  // gathered requests are refused that unresponsive shards would probably fail.
+  bool use_stated_slowness = false;
+  bool refuse_unresponsive = true;
   allotments::AllotmentPolicy allotments;
   // Polling of control VMs; one that has not replied for the timeout is not
   // relied on.
--- a/libs/entry/src/entry_node.cc
+++ b/libs/entry/src/entry_node.cc
@@ -100,6 +100,8 @@
     const unsigned n = std::max(1U, settings.io_shards);
     relay::RelayPolicy policy;
     policy.extra_attempts = settings.extra_attempts;
+    policy.use_stated_slowness = settings.use_stated_slowness;
+    policy.refuse_unresponsive = settings.refuse_unresponsive;
     std::vector<transport::IoThread*> all;
     std::vector<transport::ReplyMemory*> memory;
     for (unsigned i = 0; i < n; ++i) {
--- a/libs/settings/include/gooseberryrock/settings/tier_settings.h
+++ b/libs/settings/include/gooseberryrock/settings/tier_settings.h
@@ -57,6 +57,13 @@
   double extra_attempt_share = 0.2;
   double extra_attempts = 52;
   Duration extra_attempt_window = std::chrono::seconds(10);
+  // Whether entry nodes choose servers by the slowness that they state. Off,
+  // because it costs answers in time on the deployments that were measured
+  // (docs/design/server-load.md).
+  bool use_stated_slowness = false;
+  // Whether they refuse gathered requests at once that unresponsive shards
+  // would probably fail.
+  bool refuse_unresponsive = true;
   // In each window an organisation with an allotment may send
   // (rate * window + burst) * (1 + overage) + slack requests.
   Duration allotment_window = std::chrono::seconds(5);
--- a/libs/settings/src/tier_settings.cc
+++ b/libs/settings/src/tier_settings.cc
@@ -206,6 +206,10 @@
     settings.key_revocation_time = ReadMilliseconds(
         root, "key_revocation_time_ms", settings.key_revocation_time);
   }
+  settings.use_stated_slowness =
+      ReadBool(root, "use_stated_slowness", settings.use_stated_slowness);
+  settings.refuse_unresponsive =
+      ReadBool(root, "refuse_unresponsive", settings.refuse_unresponsive);
   settings.extra_attempt_share =
       ReadNumber(root, "extra_attempt_share", 0, kMaxExtraAttemptShare,
                  settings.extra_attempt_share);
