--- a/libs/control/src/control_node.cc
+++ b/libs/control/src/control_node.cc
@@ -86,9 +86,6 @@
 constexpr size_t kMaxCrashNotices = 64;
 // Bounds the delay of a stop by a read without a leader.
 constexpr Duration kReadTimeout = std::chrono::milliseconds(500);
-// Minimum interval between hellos that news of crashes cause. While many
-// servers crash, each poll has some, and a hello goes to all other control VMs.
-constexpr Duration kMinHelloInterval = std::chrono::milliseconds(100);
 constexpr Duration kStopCheck = std::chrono::milliseconds(20);
 
 peer::PeerSocketOptions SocketOptions(const ControlSettings& settings,
@@ -473,37 +470,26 @@
 
   void RunMaintenance() {
     SteadyTime next_hello;
-    SteadyTime last_hello;
-    const auto may_send_early = [&](SteadyTime now) {
-      return hello_now && now - last_hello >= kMinHelloInterval;
-    };
     std::unique_lock lock(mutex);
     while (!stopping) {
       const SteadyTime now = BootTime();
-      const bool is_regular = now >= next_hello;
-      const bool hello_due = is_regular || may_send_early(now);
+      const bool hello_due = now >= next_hello || hello_now;
+      hello_now = false;
       const bool is_leaving = leaving;
-      if (hello_due) {
-        hello_now = false;
-      }
       lock.unlock();
       if (hello_due) {
-        // An early hello holds only what is new.
-        SendHellos(is_leaving, is_regular ? now - kCrashNoticeTime : last_hello,
-                   now);
-        next_hello = is_regular ? now + policy.hello_interval : next_hello;
-        last_hello = now;
+        next_hello = now + policy.hello_interval;
+        SendHellos(is_leaving, now);
       }
       members->Check(now);
       SaveServers(now);
       lock.lock();
-      changed.wait_for(lock,
-                       hello_now ? kMinHelloInterval : policy.check_interval,
-                       [&] { return stopping || may_send_early(BootTime()); });
+      changed.wait_for(lock, policy.check_interval,
+                       [this] { return stopping || hello_now; });
     }
   }
 
-  void SendHellos(bool is_leaving, SteadyTime notices_since, SteadyTime now) {
+  void SendHellos(bool is_leaving, SteadyTime now) {
     for (const NodeId& it : entry_nodes.RemoveLost(now)) {
       socket->RemovePeer(it);
     }
@@ -516,9 +502,9 @@
     for (const NodeId& it : vms) {
       hello.add_control_vms(it.value);
     }
-    proto::AddCrashNotices(
-        crash_history.RecentNotices(notices_since, kMaxCrashNotices, now),
-        *hello.mutable_crashes());
+    proto::AddCrashNotices(crash_history.RecentNotices(now - kCrashNoticeTime,
+                                                       kMaxCrashNotices, now),
+                           *hello.mutable_crashes());
     for (const NodeId& it : vms) {
       hello.set_directory_count(registry.SentCount(it));
       entry_nodes.FillHello(it, hello);
