allotments, entry: one half-life and one send time where there were two

The half-life of shares without a grant stood in the code of nodes and of control VMs, which must agree; it is one constant now. The report of a poll takes the time at which the poll is sent from the poll. A condition in Admit() loses its conditional expression. Behaviour is unchanged.

--- a/libs/allotments/include/gooseberryrock/allotments/allotment_policy.h
+++ b/libs/allotments/include/gooseberryrock/allotments/allotment_policy.h
@@ -16,6 +16,11 @@
   double slack = 20;
 };
 
+// A node without a grant halves the share that it may use each time, and
+// control VMs halve what they keep for nodes and control VMs that are silent.
+// The two must agree, or more than the allotment is used.
+inline constexpr double kShareHalfLifeSeconds = 5;
+
 // What a bucket holds: the burst and a part of what overage and slack leave. At
 // least one request.
 struct BucketSize {
--- a/libs/allotments/src/allotment_ledger.cc
+++ b/libs/allotments/src/allotment_ledger.cc
@@ -25,7 +25,6 @@
 // Control VMs that are cut off together with nodes go on granting their share,
 // so that it is kept for the usual length of a partition and then decays.
 constexpr double kShareHoldSeconds = 10;
-constexpr double kShareHalfLifeSeconds = 5;
 constexpr Duration kControlVmLifetime = std::chrono::minutes(1);
 // Advance() is late by more than this only after a suspension.
 constexpr Duration kMaxAdvanceDelay = std::chrono::seconds(1);
--- a/libs/allotments/src/node_allotments.cc
+++ b/libs/allotments/src/node_allotments.cc
@@ -13,8 +13,6 @@
 
 // Average over the node's requests, a few of which arrive per second.
 constexpr Duration kDemandPeriod = std::chrono::seconds(5);
-// After the end of the last grant the node's share is halved each time.
-constexpr double kShareHalfLifeSeconds = 5;
 // A fraction below 1 is applied for this long after its grant has ended: about
 // the time in which nodes find another control VM.
 constexpr Duration kFractionLifetime = std::chrono::seconds(2);
--- a/libs/entry/src/allotment_polls.cc
+++ b/libs/entry/src/allotment_polls.cc
@@ -5,23 +5,19 @@
 #include <chrono>
 
 #include "gooseberryrock/allotments/shared_node_allotments.h"
+#include "gooseberryrock/base/time.h"
 #include "gooseberryrock/proto/convert_allotments.h"
 #include "peer.pb.h"
 
 namespace gooseberryrock::entry {
 
-bool AddReport(allotments::SharedNodeAllotments& node,
-               proto::EntryPoll& poll,
-               SteadyTime now) {
+bool AddReport(allotments::SharedNodeAllotments& node, proto::EntryPoll& poll) {
   const auto report = node.MakeReport();
   if (!report) {
     return false;
   }
-  using std::chrono::microseconds;
   *poll.mutable_allotments() = proto::ToMessage(*report);
-  poll.mutable_allotments()->set_sent_us(static_cast<uint64_t>(
-      std::chrono::duration_cast<microseconds>(now.time_since_epoch())
-          .count()));
+  poll.mutable_allotments()->set_sent_us(poll.sent_us());
   return true;
 }
 
--- a/libs/entry/src/allotment_polls.h
+++ b/libs/entry/src/allotment_polls.h
@@ -3,8 +3,6 @@
 #ifndef GOOSEBERRYROCK_LIBS_ENTRY_SRC_ALLOTMENT_POLLS_H_
 #define GOOSEBERRYROCK_LIBS_ENTRY_SRC_ALLOTMENT_POLLS_H_
 
-#include "gooseberryrock/base/time.h"
-
 namespace gooseberryrock::allotments {
 class SharedNodeAllotments;
 }  // namespace gooseberryrock::allotments
@@ -16,11 +14,9 @@
 
 namespace gooseberryrock::entry {
 
-// Adds the report of the node. Returns false while no organisation has an
-// allotment.
-bool AddReport(allotments::SharedNodeAllotments& node,
-               proto::EntryPoll& poll,
-               SteadyTime now);
+// Adds the report of the node to a poll with the time at which it is sent.
+// Returns false while no organisation has an allotment.
+bool AddReport(allotments::SharedNodeAllotments& node, proto::EntryPoll& poll);
 
 // Throws MalformedMessageError.
 void ReadGrant(allotments::SharedNodeAllotments& node,
--- a/libs/entry/src/control_poller.cc
+++ b/libs/entry/src/control_poller.cc
@@ -258,7 +258,7 @@
     // hold them up.
     if (!has_reported && vm.replied_at &&
         now - *vm.replied_at < settings.poll_reply_timeout) {
-      has_reported = AddReport(allotments, poll, now);
+      has_reported = AddReport(allotments, poll);
     }
     socket.Send(node, peer::FrameKind::kEntryPoll, poll.SerializeAsString());
   }
--- a/libs/entry/src/entry_shard.cc
+++ b/libs/entry/src/entry_shard.cc
@@ -185,10 +185,8 @@
   }
   const CallerAccess access = CheckAccess(*table_, *route, caller);
   const bool is_confirmed =
-      NeedsKey(*table_, *route)
-          ? routes::IsConfirmed(followed_routes_, route_confirmation_lifetime_,
-                                now)
-          : true;
+      !NeedsKey(*table_, *route) ||
+      routes::IsConfirmed(followed_routes_, route_confirmation_lifetime_, now);
   if (!is_confirmed && may_park) {
     ParkRequest(std::move(exchange), caller);
     return;
